--- a/internal/balance/picker_test.go
+++ b/internal/balance/picker_test.go
@@ -232,3 +232,93 @@
 		}
 	})
 })
+
+// Guards against calls that go on to a target which has just stalled: before any of its calls has ended, their age tells.
+func TestStalledCallsMoveTheChoice(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	rnd := rand.New(rand.NewPCG(1, 1))
+	p := NewPicker(Config{})
+	p.Update([]Target{{ID: "near", Slots: 9, Warm: true}, {ID: "far", Slots: 9, Warm: true, Hop: 24 * time.Millisecond}}, now)
+	for range 20 {
+		for _, id := range []string{"near", "far"} {
+			c, _ := p.Pick(Request{Eligible: func(have string) bool { return have == id }}, now, rnd)
+			p.Done(c, Observation{Result: Success, Latency: 10*time.Millisecond + c.Target.Hop}, now)
+		}
+	}
+	stalled, _ := p.Pick(Request{}, now, rnd)
+	g.Expect(stalled.Target.ID).To(Equal("near"))
+	for _, c := range []struct {
+		age  time.Duration
+		want string
+	}{{15 * time.Millisecond, "near"}, {40 * time.Millisecond, "far"}} {
+		next, _ := p.Pick(Request{}, now.Add(c.age), rnd)
+		g.Expect(next.Target.ID).To(Equal(c.want), "after %v", c.age)
+		p.Done(next, Observation{Result: Neutral}, now.Add(c.age))
+	}
+	p.Done(stalled, Observation{Result: Success, Latency: 50 * time.Millisecond}, now.Add(50*time.Millisecond))
+	next, _ := p.Pick(Request{}, now.Add(51*time.Millisecond), rnd)
+	g.Expect(next.Target.ID).To(Equal("near"), "the stall is over")
+}
+
+// Guards against calls to a target where no process listens.
+func TestUnreachableTargetIsEjectedAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	rnd := rand.New(rand.NewPCG(1, 1))
+	p := NewPicker(Config{})
+	p.Update([]Target{{ID: "a", Slots: 2, Warm: true}, {ID: "b", Slots: 2, Warm: true}}, now)
+	c, _ := p.Pick(Request{}, now, rnd)
+	p.Done(c, Observation{Result: Unreachable}, now)
+	for range 20 {
+		next, _ := p.Pick(Request{}, now, rnd)
+		g.Expect(next.Target.ID).NotTo(Equal(c.Target.ID))
+	}
+}
+
+// Guards against the ejection of a target for a pause of some tenths of a second, and against keeping a slow one.
+func TestShortSlownessDoesNotEject(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	rnd := rand.New(rand.NewPCG(1, 1))
+	p := NewPicker(Config{SlowSpan: 500 * time.Millisecond})
+	p.Update([]Target{{ID: "a", Slots: 9, Warm: true}, {ID: "b", Slots: 9, Warm: true}}, now)
+	call := func(id string, latency time.Duration) {
+		c, _ := p.Pick(Request{Eligible: func(have string) bool { return have == id }}, now, rnd)
+		p.Done(c, Observation{Result: Success, Latency: latency}, now)
+	}
+	for range 20 {
+		call("a", 10*time.Millisecond)
+		call("b", 10*time.Millisecond)
+	}
+	for range 8 {
+		call("a", 200*time.Millisecond)
+		now = now.Add(20 * time.Millisecond)
+	}
+	g.Expect(p.Status(now).Ejections).To(BeZero())
+	for range 40 {
+		call("a", 200*time.Millisecond)
+		now = now.Add(20 * time.Millisecond)
+	}
+	g.Expect(p.Status(now).Ejections).NotTo(BeZero())
+}
+
+// Guards against a node that starts in the middle of a day and treats targets that run for long as cold.
+func TestWarmAndColdTargetsAtTheStart(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	p := NewPicker(Config{SlowStart: 4 * time.Second})
+	p.Update([]Target{{ID: "warm", Warm: true}, {ID: "cold", ColdLeft: time.Second}, {ID: "new"}}, now)
+	cold := func(at time.Time) (ids []string) {
+		candidates, _ := p.View(Request{}, at)
+		for _, c := range candidates {
+			if c.Cold {
+				ids = append(ids, c.ID)
+			}
+		}
+		return ids
+	}
+	g.Expect(cold(now)).To(ConsistOf("cold", "new"))
+	g.Expect(cold(now.Add(time.Second))).To(ConsistOf("new"))
+	g.Expect(cold(now.Add(4 * time.Second))).To(BeEmpty())
+}
--- a/internal/httpcall/pool.go
+++ b/internal/httpcall/pool.go
@@ -69,11 +69,7 @@
 // Do sends the call and waits for its response. beforeWrite is called at the last moment before the first byte is
 // written; when it returns an error, nothing is written. Errors are *Error.
 func (p *Pool) Do(ctx context.Context, call *Call, beforeWrite func() error) (*Response, error) {
-	deadline, ok := ctx.Deadline()
-	if !ok {
-		deadline = time.Now().Add(time.Minute)
-	}
-	release, err := p.gate.Acquire(ctx, targetqueue.Request{Deadline: deadline})
+	release, err := p.acquire(ctx)
 	if err != nil {
 		return nil, notWritten(ctx, KindBusy, err)
 	}
@@ -95,6 +91,18 @@
 	}
 }
 
+// noDeadline is the time that a call without a deadline may wait for a connection.
+const noDeadline = time.Minute
+
+// acquire waits for the right to hold one connection.
+func (p *Pool) acquire(ctx context.Context) (release func(), err error) {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		deadline = time.Now().Add(noDeadline)
+	}
+	return p.gate.Acquire(ctx, targetqueue.Request{Deadline: deadline})
+}
+
 func notWritten(ctx context.Context, kind ErrorKind, err error) *Error {
 	if ctx.Err() != nil {
 		kind = KindCancelled
@@ -135,8 +143,7 @@
 // Refuses opens a connection and reports whether the address refuses it: no process listens there. A connection that could
 // be opened is kept.
 func (p *Pool) Refuses(ctx context.Context) bool {
-	deadline, _ := ctx.Deadline()
-	release, err := p.gate.Acquire(ctx, targetqueue.Request{Deadline: deadline})
+	release, err := p.acquire(ctx)
 	if err != nil {
 		return false // calls hold all connections, so some process answers or none can tell
 	}
--- /dev/null
+++ b/internal/routing/routing_test.go
@@ -0,0 +1,92 @@
+package routing
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+func configuration(routes ...Route) *Configuration {
+	c := &Configuration{Version: 1, Services: []Service{{Name: "a", MaxConnections: 5}, {Name: "b", MaxConnections: 5}}, Routes: routes}
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		if r.Kind == "" {
+			r.Kind = Idempotent
+		}
+		r.Attempts, r.Timeout = max(1, r.Attempts), time.Second
+	}
+	return c
+}
+
+// Guards against a request that takes a shorter prefix than it could, or a route of another host.
+func TestFindTakesTheLongestPrefixOfTheHost(t *testing.T) {
+	g := NewWithT(t)
+	table := NewTable(configuration(
+		Route{Name: "root", Host: "x.example", Prefix: "/", Service: "a"},
+		Route{Name: "deep", Host: "x.example", Prefix: "/p/q/", Service: "b"},
+		Route{Name: "other", Host: "y.example", Prefix: "/p/", Service: "b"},
+	))
+	for path, want := range map[string]string{
+		"/": "root", "/p": "root", "/p/": "root", "/p/q": "root", "/p/q/": "deep", "/p/q/r/s": "deep", "/p/qq/": "root",
+	} {
+		g.Expect(table.Find("X.example:80", path).Name).To(Equal(want), path)
+	}
+	g.Expect(table.Find("y.example", "/q/")).To(BeNil())
+	g.Expect(table.Find("z.example", "/p/")).To(BeNil())
+}
+
+// Guards against a configuration that is put in force although requests on it could not be served as the operators mean.
+func TestValidateNamesTheFaultyField(t *testing.T) {
+	good := Route{Name: "r", Host: "h", Prefix: "/p/", Service: "a"}
+	for name, c := range map[string]struct {
+		break_ func(*Configuration)
+		field  string
+	}{
+		"no version":        {func(c *Configuration) { c.Version = 0 }, "version"},
+		"prefix":            {func(c *Configuration) { c.Routes[0].Prefix = "/p" }, "routes[0].prefix"},
+		"kind":              {func(c *Configuration) { c.Routes[0].Kind = "often" }, "routes[0].kind"},
+		"attempts":          {func(c *Configuration) { c.Routes[0].Attempts = 0 }, "routes[0].attempts"},
+		"timeout":           {func(c *Configuration) { c.Routes[0].Timeout = 0 }, "routes[0].timeout"},
+		"no destination":    {func(c *Configuration) { c.Routes[0].Service = "" }, "routes[0]"},
+		"unknown service":   {func(c *Configuration) { c.Routes[0].Service = "z" }, "routes[0]"},
+		"two destinations":  {func(c *Configuration) { c.Routes[0].Gather = []string{"a"} }, "routes[0]"},
+		"repeated shard":    {func(c *Configuration) { c.Routes[0] = gather("a", "a") }, "routes[0].gather"},
+		"share above 1":     {func(c *Configuration) { c.Routes[0] = gather("a"); c.Routes[0].MinShare = 1.5 }, "routes[0].min_share"},
+		"weight not finite": {func(c *Configuration) { c.Routes[0].Service = ""; c.Routes[0].Split = []Share{{"a", math.NaN()}} }, "routes[0].split[0].weight"},
+		"service twice":     {func(c *Configuration) { c.Services = append(c.Services, c.Services[0]) }, "services[2].name"},
+		"no connections":    {func(c *Configuration) { c.Services[0].MaxConnections = 0 }, "services[0].max_connections"},
+		"route twice":       {func(c *Configuration) { c.Routes = append(c.Routes, c.Routes[0]) }, "routes[1]"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			conf := configuration(good)
+			g.Expect(conf.Validate()).To(Succeed())
+			c.break_(conf)
+			err := conf.Validate()
+			g.Expect(err).To(HaveOccurred())
+			g.Expect(err.(*Fault).Field).To(Equal(c.field))
+		})
+	}
+}
+
+func gather(shards ...string) Route {
+	return Route{Name: "g", Host: "h", Prefix: "/p/", Kind: Idempotent, Gather: shards, TopK: 1, Attempts: 1, Timeout: time.Second}
+}
+
+// Guards against a split whose parts do not get their shares, also over short spans.
+func TestSplitKeepsItsSharesOverAnySpan(t *testing.T) {
+	g := NewWithT(t)
+	route := Route{Name: "s", Host: "h", Prefix: "/", Split: []Share{{"a", 3}, {"b", 1}}}
+	table := NewTable(configuration(route))
+	r := table.Find("h", "/")
+	const span = 40
+	for range 25 {
+		got := map[string]int{}
+		for range span {
+			got[table.Destination(r)]++
+		}
+		g.Expect(got["a"]).To(BeNumerically("~", span*3/4, 1))
+	}
+}
