--- a/cmd/medlarshunt/serve.go
+++ b/cmd/medlarshunt/serve.go
@@ -117,6 +117,7 @@
 	return gateway.Config{
 		Node: s.Node, Domain: s.Domain, Regions: s.Regions, Seeds: s.Seeds, Grace: s.Grace,
 		Budget: query.BudgetRule{Share: s.RetryShare, Slack: s.RetrySlack}, Memory: int64(s.MemoryMB) << 20,
+		Apply: s.ApplyTimeout, FirstStart: s.FirstStart,
 	}
 }
 
--- a/internal/gateway/core.go
+++ b/internal/gateway/core.go
@@ -32,6 +32,10 @@
 	upkeepInterval = time.Second
 	// strikeInterval is how often strikes that peers told are applied.
 	strikeInterval = 250 * time.Millisecond
+	// startDelay is how long a restarted node looks for a node to follow before it reads the store, and firstStartDelay
+	// the same when the whole system starts: membership then takes some heartbeats.
+	startDelay      = 300 * time.Millisecond
+	firstStartDelay = 2500 * time.Millisecond
 	// heapShare is the part of the memory limit at which the runtime collects garbage harder.
 	heapShare = 0.7
 )
@@ -73,7 +77,15 @@
 		}
 		deps.Peers = &statePeers{members: c.members, peers: c.peers, self: cfg.Node, regions: cfg.Regions}
 	}
-	c.follower = published.NewFollower(published.DefaultConfig(), deps)
+	fc := published.DefaultConfig()
+	if cfg.Apply > 0 {
+		fc.Wait = cfg.Apply / 2
+	}
+	fc.StartDelay = startDelay
+	if cfg.FirstStart {
+		fc.StartDelay = firstStartDelay
+	}
+	c.follower = published.NewFollower(fc, deps)
 	return c, nil
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -25,8 +25,11 @@
 	Regions map[string]string // region by failure domain
 	Seeds   []string          // peer addresses of some other nodes
 	Grace   time.Duration     // from the signal to stop until the process is killed
+	Apply   time.Duration     // by then a new configuration must be in force; 0 takes the default
 	Budget  query.BudgetRule
 	Memory  int64 // bytes that the process may use; 0 for no limit
+	// FirstStart is set when the whole system starts for the first time.
+	FirstStart bool
 }
 
 // Env are the connections of a process to its surroundings.
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -2,14 +2,19 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
+	"slices"
+	"time"
 
 	"github.com/creachadair/jrpc2/handler"
 	"github.com/rotisserie/eris"
 
 	"github.com/medlarshunt/medlarshunt/internal/membership"
+	"github.com/medlarshunt/medlarshunt/internal/ownership"
 	"github.com/medlarshunt/medlarshunt/internal/peer"
 	"github.com/medlarshunt/medlarshunt/internal/published"
+	"github.com/medlarshunt/medlarshunt/internal/statechart"
 )
 
 // exchanges carries membership messages over the peer connections.
@@ -73,6 +78,44 @@
 	return "", false
 }
 
+// Reader implements published.Peers. All nodes of a failure domain rank each other in the same order, so they agree on the
+// reader as far as they agree on who is alive.
+func (p *statePeers) Reader(skip func(id string) bool) (string, bool) {
+	self := p.members.Self()
+	alive := map[string]bool{}
+	for _, m := range p.members.Members(self.Domain) {
+		if m.ID == self.ID || m.Status != membership.Dead && m.Life != statechart.NodeDraining && !skip(m.ID) {
+			alive[m.ID] = true
+		}
+	}
+	ids := slices.Sorted(maps.Keys(alive))
+	if len(ids) < 2 {
+		return "", false
+	}
+	first := ownership.Rank(readerKey+self.Domain, ids)[0]
+	return first, first != self.ID
+}
+
+// readerKey keeps the ranking of readers apart from other rankings of the same nodes.
+const readerKey = "reader "
+
+// watchRequest asks a node for what it knows beyond a revision.
+type watchRequest struct {
+	Revision uint64 `json:"revision"`
+	WaitMS   int64  `json:"wait_ms"`
+}
+
+// Watch implements published.Peers.
+func (p *statePeers) Watch(ctx context.Context, id string, revision uint64, wait time.Duration) (published.Delta, error) {
+	var d published.Delta
+	m, ok := p.members.Member(id)
+	if !ok {
+		return d, errNoPeer
+	}
+	err := p.peers.Call(ctx, m.Address, peer.MethodWatchState, watchRequest{Revision: revision, WaitMS: wait.Milliseconds()}, &d)
+	return d, err
+}
+
 // peerMethods are the calls of other nodes that this one answers.
 func (c *core) peerMethods() handler.Map {
 	return handler.Map{
@@ -82,5 +125,8 @@
 		peer.MethodFetchState: handler.New(func(context.Context) (published.Snapshot, error) {
 			return c.follower.Snapshot(), nil
 		}),
+		peer.MethodWatchState: handler.New(func(ctx context.Context, r watchRequest) (published.Delta, error) {
+			return c.follower.Offer(ctx, r.Revision, time.Duration(r.WaitMS)*time.Millisecond), nil
+		}),
 	}
 }
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -15,6 +15,7 @@
 	MethodExchange    = "member.exchange"
 	MethodFetchConfig = "config.fetch"
 	MethodFetchState  = "published.fetch"
+	MethodWatchState  = "published.watch"
 
 	methodPing   = "peer.ping"
 	methodCancel = "peer.cancel"
--- a/internal/published/follower.go
+++ b/internal/published/follower.go
@@ -25,12 +25,17 @@
 	Watch(ctx context.Context, after uint64, wait time.Duration) ([]Update, uint64, error)
 }
 
-// Peers fetches the state of another node that is known to hold a newer one.
+// Peers reaches other nodes.
 type Peers interface {
 	// Ahead reports the highest revision that a live peer holds, and the highest configuration version.
 	Ahead() (revision, version uint64)
 	// Fetch returns the state of a peer that holds more than the given revision or version.
 	Fetch(ctx context.Context, revision, version uint64) (Snapshot, error)
+	// Reader returns the node that reads the store for the failure domain of this one. It returns false when that is this
+	// node itself, or none is known. Nodes for which skip is true are passed over.
+	Reader(skip func(id string) bool) (id string, ok bool)
+	// Watch returns what the node knows beyond a revision, as soon as there is something or after wait.
+	Watch(ctx context.Context, id string, revision uint64, wait time.Duration) (Delta, error)
 }
 
 // Config holds the settings of a Follower.
@@ -43,6 +48,8 @@
 	ListTimeout time.Duration
 	// PeerInterval is how often the node compares itself with its peers.
 	PeerInterval time.Duration
+	// StartDelay is the time for which a node waits for a peer to follow before it reads the store itself.
+	StartDelay time.Duration
 }
 
 // Defaults of Config. A change must be in force 3 s after its acknowledgement, so a silent connection must be found and
@@ -61,6 +68,18 @@
 	maxBackoff = 500 * time.Millisecond
 	// peerTimeout bounds one fetch from a peer.
 	peerTimeout = time.Second
+	// peerWait is how long a node that is followed holds a watch without a change, and peerSlack how much later its answer
+	// may come. Together they bound the time in which a follower of a frozen node learns nothing.
+	peerWait  = time.Second
+	peerSlack = 300 * time.Millisecond
+	// badReader is the time for which a node that could not be followed is passed over.
+	badReader = 4 * time.Second
+	// spreadPause is the pause after an answer with changes. Targets register one after another; without it, each would
+	// cost a call of the store.
+	spreadPause = 150 * time.Millisecond
+	// followerBackoff is the longest pause of a node that reads the store only since it has nobody to follow: when the
+	// store is down for all, all of them ask.
+	followerBackoff = 2 * time.Second
 )
 
 // DefaultConfig returns the settings that apply without others.
@@ -86,15 +105,21 @@
 	view atomic.Pointer[View]
 	wake chan struct{}
 
-	mu      sync.Mutex // guards state, lost, abandon, and the order of Changed calls
+	started time.Time // owned by the loop that follows
+
+	mu      sync.Mutex // guards the fields below and the order of Changed calls
 	state   *state
 	lost    bool // the last read of the store failed
 	abandon context.CancelFunc
+
+	confirmed time.Time            // when the store last confirmed the state, directly or through another node
+	bad       map[string]time.Time // nodes that could not be followed, until when they are passed over
+	changed   chan struct{}        // closed at the next change of the state
 }
 
 // NewFollower returns a follower that knows nothing yet.
 func NewFollower(cfg Config, deps Deps) *Follower {
-	f := &Follower{cfg: cfg, deps: deps, state: newState(), wake: make(chan struct{}, 1)}
+	f := &Follower{cfg: cfg, deps: deps, state: newState(), wake: make(chan struct{}, 1), bad: map[string]time.Time{}, changed: make(chan struct{})}
 	f.view.Store(f.state.view(time.Now()))
 	f.m = newFollowerMetrics(deps.Metrics, f)
 	return f
@@ -118,40 +143,167 @@
 	if f.deps.Peers != nil {
 		loops.Go(func() { f.followPeers(ctx) })
 	}
-	f.followStore(ctx)
+	f.follow(ctx)
 }
 
-// followStore lists the state and then watches for changes. A failed watch is asked again from the same revision; only a
-// dropped history makes the whole state be read again.
-func (f *Follower) followStore(ctx context.Context) {
-	listed, backoff := false, minBackoff
+// follow learns of changes: from the node that reads the store for the failure domain, or from the store itself. A failed
+// watch of the store is asked again from the same revision; only a dropped history makes the whole state be read again.
+func (f *Follower) follow(ctx context.Context) {
+	f.started = time.Now()
+	f.awaitReader(ctx)
+	backoff, listed := minBackoff, false
 	for ctx.Err() == nil {
+		reader, following := f.reader()
 		var err error
-		if !listed {
+		switch {
+		case following:
+			err = f.followNode(ctx, reader)
+			listed = listed || err == nil && f.View().Revision > 0
+		case !listed:
 			err = f.list(ctx)
 			listed = err == nil
-		} else {
+		default:
 			err = f.watch(ctx)
 			if errors.Is(err, ErrHistoryGone) {
 				f.deps.Log.WithField("revision", f.View().Revision).Warn("the store dropped its history; reading the whole state")
 				listed, err = false, nil
 			}
 		}
-		if err == nil {
+		switch {
+		case err == nil:
 			backoff = minBackoff
-			continue
-		}
-		if ctx.Err() != nil {
+		case ctx.Err() != nil:
 			return
+		case following:
+			f.passOver(reader, err)
+		default:
+			f.noteLost(err)
+			if !sleep(ctx, backoff/2+rand.N(backoff)) {
+				return
+			}
+			backoff = min(2*backoff, f.longestBackoff())
 		}
-		f.noteLost(err)
-		if !sleep(ctx, backoff/2+rand.N(backoff)) {
+	}
+}
+
+// awaitReader gives membership a moment to find the node to follow, so that a fleet that starts at once does not read the
+// store once for each node.
+func (f *Follower) awaitReader(ctx context.Context) {
+	end := time.Now().Add(f.cfg.StartDelay)
+	for time.Now().Before(end) {
+		if _, ok := f.reader(); ok || !sleep(ctx, startPoll) {
 			return
 		}
-		backoff = min(2*backoff, maxBackoff)
 	}
 }
 
+// startPoll is how often a starting node looks for a node to follow.
+const startPoll = 50 * time.Millisecond
+
+// longestBackoff is short on the node that reads for others.
+func (f *Follower) longestBackoff() time.Duration {
+	if f.deps.Peers == nil {
+		return maxBackoff
+	}
+	if _, ok := f.deps.Peers.Reader(func(string) bool { return false }); ok {
+		return followerBackoff
+	}
+	return maxBackoff
+}
+
+// reader returns the node to follow.
+func (f *Follower) reader() (string, bool) {
+	if f.deps.Peers == nil {
+		return "", false
+	}
+	now := time.Now()
+	return f.deps.Peers.Reader(func(id string) bool {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return now.Before(f.bad[id])
+	})
+}
+
+// passOver notes that a node could not be followed.
+func (f *Follower) passOver(id string, err error) {
+	f.deps.Log.WithError(err).WithField("reader", id).Info("cannot follow the node that reads the store; the next one takes its place")
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.bad[id] = time.Now().Add(badReader)
+}
+
+var errEmpty = eris.New("published: the store has published nothing yet")
+
+var errStale = eris.New("published: the node has not heard from the store for too long")
+
+// followNode takes the changes that another node of the failure domain has learned.
+func (f *Follower) followNode(ctx context.Context, id string) error {
+	ctx, cancel := context.WithTimeout(ctx, peerWait+peerSlack)
+	defer cancel()
+	f.setAbandon(cancel)
+	f.m.follows.Inc()
+	d, err := f.deps.Peers.Watch(ctx, id, f.View().Revision, peerWait)
+	if err != nil {
+		return err
+	}
+	if d.Starting {
+		if time.Since(f.started) > 2*f.cfg.StartDelay {
+			return errStale
+		}
+		sleep(ctx, startPoll)
+		return nil
+	}
+	age := time.Duration(d.AgeMS) * time.Millisecond
+	if age > f.cfg.Wait+2*f.cfg.Slack {
+		return errStale
+	}
+	f.confirm(time.Now().Add(-age))
+	f.merge("reader "+id, func(s *state, now time.Time) outcome { return s.follow(d, now) })
+	return nil
+}
+
+// confirm notes when the store last confirmed the state.
+func (f *Follower) confirm(at time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if at.After(f.confirmed) {
+		f.confirmed = at
+	}
+}
+
+// Offer answers a node that follows this one.
+func (f *Follower) Offer(ctx context.Context, revision uint64, wait time.Duration) Delta {
+	timer := time.NewTimer(min(wait, peerWait))
+	defer timer.Stop()
+	waited := false
+	for {
+		f.mu.Lock()
+		changed, now := f.changed, time.Now()
+		d := f.state.delta(revision, now)
+		d.Starting = f.confirmed.IsZero()
+		if !d.Starting {
+			d.AgeMS = now.Sub(f.confirmed).Milliseconds()
+		}
+		f.mu.Unlock()
+		if d.Revision > revision || waited {
+			return d
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			waited = true
+		case <-ctx.Done():
+			return d
+		}
+	}
+}
+
+func (f *Follower) setAbandon(cancel context.CancelFunc) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.abandon = cancel
+}
+
 func (f *Follower) list(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, f.cfg.ListTimeout)
 	defer cancel()
@@ -162,15 +314,16 @@
 	}
 	f.noteAnswer()
 	f.merge("list", func(s *state, now time.Time) outcome { return s.list(l, now) })
+	if f.View().Revision == 0 {
+		return errEmpty
+	}
 	return nil
 }
 
 func (f *Follower) watch(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, f.cfg.Wait+f.cfg.Slack)
 	defer cancel()
-	f.mu.Lock()
-	f.abandon = cancel
-	f.mu.Unlock()
+	f.setAbandon(cancel)
 	f.m.watches.Inc()
 	updates, asOf, err := f.deps.Source.Watch(ctx, f.View().Revision, f.cfg.Wait)
 	if err != nil {
@@ -178,6 +331,9 @@
 	}
 	f.noteAnswer()
 	f.merge("watch", func(s *state, now time.Time) outcome { return s.merge(updates, asOf, now) })
+	if len(updates) > 0 {
+		sleep(ctx, spreadPause)
+	}
 	return nil
 }
 
@@ -208,6 +364,7 @@
 	f.mu.Lock()
 	regained := f.lost
 	f.lost = false
+	f.confirmed = time.Now()
 	if regained {
 		f.state.storeReturned(time.Now())
 	}
@@ -230,6 +387,8 @@
 	}
 	v := f.state.view(now)
 	f.view.Store(v)
+	close(f.changed)
+	f.changed = make(chan struct{})
 	if f.deps.Changed != nil {
 		f.deps.Changed(v)
 	}
@@ -244,7 +403,7 @@
 	log := f.deps.Log.WithFields(logrus.Fields{"source": source, "revision": f.state.revision})
 	for _, u := range out.refused {
 		f.m.refused.Inc()
-		log.WithError(u.Refused).WithFields(logrus.Fields{"target": u.RefusedTarget, "at": u.Revision}).Warn("refused a published value; the others stay in force")
+		log.WithFields(logrus.Fields{"reason": u.Refused, "target": u.RefusedTarget, "at": u.Revision}).Warn("refused a published value; the others stay in force")
 	}
 	if len(out.stale) > 0 {
 		log.WithField("versions", out.stale).Warn("ignored configuration versions older than the one in force")
@@ -281,8 +440,8 @@
 	}
 }
 
-// followPeers takes the state of a peer that is ahead. Each node watches the store itself, so this matters for nodes that
-// the store does not serve.
+// followPeers takes the state of a peer that is ahead. It matters for nodes that neither the store
+// nor a node of their failure domain serves.
 func (f *Follower) followPeers(ctx context.Context) {
 	tick := time.NewTicker(f.cfg.PeerInterval)
 	defer tick.Stop()
@@ -299,7 +458,7 @@
 			behind = 0
 			continue
 		}
-		// One interval of patience: the own watch usually brings the same change at the same moment.
+		// One interval of patience: the change usually arrives by the own watch at the same moment.
 		if behind++; behind < 2 {
 			continue
 		}
--- a/internal/published/follower_test.go
+++ b/internal/published/follower_test.go
@@ -147,6 +147,12 @@
 
 func (p fakePeers) Fetch(context.Context, uint64, uint64) (Snapshot, error) { return p.s, nil }
 
+func (p fakePeers) Reader(func(string) bool) (string, bool) { return "", false }
+
+func (p fakePeers) Watch(context.Context, string, uint64, time.Duration) (Delta, error) {
+	return Delta{}, errors.New("no reader")
+}
+
 // Guards against a node that the store turns away and that does not learn from its peers.
 func TestPeersAreAskedWhenTheStoreTurnsTheNodeAway(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -159,3 +165,90 @@
 		g.Expect(count(f)).To(Equal(1))
 	})
 }
+
+// readerPeers follows another follower, as a node of the same failure domain does.
+type readerPeers struct {
+	fakePeers
+	reader *Follower
+	mu     sync.Mutex // guards broken and frozen
+	broken bool
+	frozen bool
+}
+
+func (p *readerPeers) set(broken, frozen bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.broken, p.frozen = broken, frozen
+}
+
+func (p *readerPeers) Ahead() (uint64, uint64) { return 0, 0 }
+
+func (p *readerPeers) Reader(skip func(string) bool) (string, bool) { return "first", !skip("first") }
+
+func (p *readerPeers) Watch(ctx context.Context, _ string, revision uint64, wait time.Duration) (Delta, error) {
+	p.mu.Lock()
+	broken, frozen := p.broken, p.frozen
+	p.mu.Unlock()
+	if broken {
+		return Delta{}, errors.New("reset")
+	}
+	if frozen {
+		<-ctx.Done()
+		return Delta{}, ctx.Err()
+	}
+	return p.reader.Offer(ctx, revision, wait), nil
+}
+
+// Guards against the price of the store growing with the nodes, and against followers that learn nothing any more when
+// the node that reads for them is lost, frozen, or itself turned away.
+func TestFollowersLearnFromTheReader(t *testing.T) {
+	for name, lose := range map[string]func(*readerPeers, *fakeSource){
+		"lost":        func(p *readerPeers, _ *fakeSource) { p.set(true, false) },
+		"frozen":      func(p *readerPeers, _ *fakeSource) { p.set(false, true) },
+		"turned away": func(_ *readerPeers, s *fakeSource) { s.set(func(s *fakeSource) { s.err = errors.New("turned away") }) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				ofReader := &fakeSource{listing: Listing{Updates: []Update{put(1, "a")}, AsOf: 1}, asOf: 1}
+				own := &fakeSource{listing: ofReader.listing, asOf: 1}
+				peers := &readerPeers{reader: follow(t, ofReader, nil)}
+				time.Sleep(100 * time.Millisecond)
+				f := follow(t, own, peers)
+				time.Sleep(time.Second)
+				publish := func(revision uint64, u Update) {
+					for _, s := range []*fakeSource{ofReader, own} {
+						s.set(func(s *fakeSource) { s.changes, s.asOf = append(s.changes, u), revision })
+					}
+				}
+				publish(2, put(2, "b"))
+				time.Sleep(500 * time.Millisecond)
+				g.Expect(count(f)).To(Equal(2))
+				g.Expect(own.lists+own.watches).To(BeZero(), "the follower does not read the store")
+				lose(peers, ofReader)
+				publish(3, Update{Revision: 3, Configuration: version(8)})
+				time.Sleep(3 * time.Second)
+				g.Expect(f.View().Version()).To(BeEquivalentTo(8), "in force within 3 s all the same")
+			})
+		})
+	}
+}
+
+// Guards against a delta that leaves out changes: a follower that is far behind takes the whole state.
+func TestDeltaIsCompleteOrWhole(t *testing.T) {
+	g := NewWithT(t)
+	s := filled("a")
+	follower := newState()
+	follower.follow(s.delta(0, t0), t0)
+	g.Expect(ids(follower)).To(ConsistOf("a"))
+	for i := range 3 * maxLogged {
+		s.merge([]Update{put(uint64(10+i), "b")}, uint64(10+i), t0)
+	}
+	s.merge([]Update{gone(9000, "a"), {Revision: 9001, Configuration: version(2)}}, 9001, t0)
+	g.Expect(s.delta(1, t0).Full).NotTo(BeNil())
+	g.Expect(s.delta(8999, t0).Updates).To(HaveLen(2))
+	follower.follow(s.delta(1, t0), t0)
+	g.Expect(ids(follower)).To(ConsistOf("b"))
+	g.Expect(follower.view(t0).Version()).To(BeEquivalentTo(2))
+	g.Expect(s.delta(9001, t0).Updates).To(BeEmpty())
+}
--- a/internal/published/metrics.go
+++ b/internal/published/metrics.go
@@ -4,7 +4,7 @@
 
 // followerMetrics counts the reads of a follower.
 type followerMetrics struct {
-	lists, watches, fetches, failures, refused *metrics.Counter
+	lists, watches, follows, fetches, failures, refused *metrics.Counter
 }
 
 func newFollowerMetrics(set *metrics.Set, f *Follower) *followerMetrics {
@@ -13,6 +13,7 @@
 	return &followerMetrics{
 		lists:    set.GetOrCreateCounter(`medlarshunt_store_reads_total{kind="list"}`),
 		watches:  set.GetOrCreateCounter(`medlarshunt_store_reads_total{kind="watch"}`),
+		follows:  set.GetOrCreateCounter("medlarshunt_reader_follows_total"),
 		fetches:  set.GetOrCreateCounter("medlarshunt_peer_fetches_total"),
 		failures: set.GetOrCreateCounter("medlarshunt_store_failures_total"),
 		refused:  set.GetOrCreateCounter("medlarshunt_published_refused_total"),
--- a/internal/published/published.go
+++ b/internal/published/published.go
@@ -43,13 +43,13 @@
 
 // Update is one change that the store reports. Exactly one of Configuration, Target, Removed and Refused is set.
 type Update struct {
-	Revision      uint64
-	Configuration *routing.Configuration
-	Target        *Target
-	Removed       string // id of a target whose entry is gone
+	Revision      uint64                 `json:"revision"`
+	Configuration *routing.Configuration `json:"configuration,omitempty"`
+	Target        *Target                `json:"target,omitempty"`
+	Removed       string                 `json:"removed,omitempty"` // id of a target whose entry is gone
 	// Refused says why a value was not understood. RefusedTarget is the target whose entry it was, if it was one.
-	Refused       error
-	RefusedTarget string
+	Refused       string `json:"refused,omitempty"`
+	RefusedTarget string `json:"refused_target,omitempty"`
 }
 
 // Listing is the whole published state. Changes after AsOf may or may not be in it.
@@ -89,3 +89,17 @@
 	// LapseLeftMS is set for a target whose entry is missing but is still used for this time.
 	LapseLeftMS int64 `json:"lapse_left_ms,omitempty"`
 }
+
+// Delta is what a node tells another one that follows it: the changes after the revision that it asked for, or the whole
+// state when those are not at hand.
+type Delta struct {
+	Revision uint64    `json:"revision"`
+	Updates  []Update  `json:"updates,omitempty"`
+	Full     *Snapshot `json:"full,omitempty"`
+	// AgeMS is the time since the store last confirmed the state.
+	AgeMS int64 `json:"age_ms"`
+	// Starting is set by a node that has not read the store yet.
+	Starting bool `json:"starting,omitempty"`
+	// SettleLeftMS is how much longer entries that are missing may come back after an outage of the store.
+	SettleLeftMS int64 `json:"settle_left_ms,omitempty"`
+}
--- a/internal/published/state.go
+++ b/internal/published/state.go
@@ -32,6 +32,7 @@
 	targets  map[string]entry
 	revision uint64    // all changes up to it are merged
 	settled  time.Time // until then, removals are held
+	log      changeLog
 }
 
 // outcome says what a merge changed, for the log.
@@ -57,6 +58,7 @@
 			continue
 		}
 		s.apply(u, now, &out)
+		s.log.add(u)
 	}
 	s.revision = max(s.revision, asOf)
 	return out
@@ -80,7 +82,7 @@
 
 func (s *state) apply(u Update, now time.Time, out *outcome) {
 	switch {
-	case u.Refused != nil:
+	case u.Refused != "":
 		out.refused = append(out.refused, u)
 		if e, known := s.targets[u.RefusedTarget]; known && u.Revision > e.revision {
 			s.remove(u.RefusedTarget, now, out)
@@ -195,6 +197,7 @@
 		}
 	}
 	s.revision = max(s.revision, l.AsOf)
+	s.log.restart(s.revision)
 	return out
 }
 
@@ -238,9 +241,39 @@
 		}
 	}
 	s.revision = p.Revision
+	s.log.restart(s.revision)
 	return out
 }
 
+// delta is what a follower that knows all changes up to the revision lacks.
+func (s *state) delta(revision uint64, now time.Time) Delta {
+	d := Delta{Revision: s.revision}
+	if left := s.settled.Sub(now); left > 0 {
+		d.SettleLeftMS = left.Milliseconds()
+	}
+	if updates, ok := s.log.since(revision); ok {
+		d.Updates = updates
+		return d
+	}
+	full := s.snapshot(now)
+	d.Full = &full
+	return d
+}
+
+// follow merges what another node told.
+func (s *state) follow(d Delta, now time.Time) outcome {
+	if d.SettleLeftMS > 0 {
+		until := now.Add(min(lapseHold, time.Duration(d.SettleLeftMS)*time.Millisecond))
+		if until.After(s.settled) {
+			s.settled = until
+		}
+	}
+	if d.Full != nil {
+		return s.adopt(*d.Full, now)
+	}
+	return s.merge(d.Updates, d.Revision, now)
+}
+
 // view makes the immutable view of the state.
 func (s *state) view(now time.Time) *View {
 	v := &View{Table: s.table, Targets: map[string][]Target{}, Revision: s.revision, Learned: now}
--- a/internal/published/state_test.go
+++ b/internal/published/state_test.go
@@ -1,7 +1,6 @@
 package published
 
 import (
-	"errors"
 	"testing"
 	"time"
 
@@ -128,7 +127,7 @@
 func TestBrokenEntryNamesNoTarget(t *testing.T) {
 	g := NewWithT(t)
 	s := filled("a", "b")
-	broken := errors.New("no service")
+	const broken = "no service"
 	out := s.merge([]Update{{Revision: 3, Refused: broken, RefusedTarget: "x"}, {Revision: 4, Refused: broken, RefusedTarget: "a"}, {Revision: 5, Refused: broken}}, 5, t0)
 	g.Expect(out.refused).To(HaveLen(3))
 	g.Expect(ids(s)).To(ConsistOf("b"))
