Hold missing targets by mass only, and pass over a stale reader at once

Now a removal is held only when one answer takes a quarter of the targets, each node decides that by itself, a stale reader answers at once, and a restarted node reads the store without waiting.

--- a/internal/gateway/core.go
+++ b/internal/gateway/core.go
@@ -32,9 +32,8 @@
 	upkeepInterval = time.Second
 	// strikeInterval is how often strikes that peers told are applied.
 	strikeInterval = 250 * time.Millisecond
-	// startDelay is how long a restarted node looks for a node to follow before it reads the store, and firstStartDelay
-	// the same when the whole system starts: membership then takes some heartbeats.
-	startDelay      = 300 * time.Millisecond
+	// firstStartDelay is how long a node looks for a node to follow before it reads the store when the whole system
+	// starts: membership takes some heartbeats. A node that is started again reads at once, because callers wait for it.
 	firstStartDelay = 2500 * time.Millisecond
 	// heapShare is the part of the memory limit at which the runtime collects garbage harder.
 	heapShare = 0.7
@@ -81,7 +80,6 @@
 	if cfg.Apply > 0 {
 		fc.Wait = cfg.Apply / 2
 	}
-	fc.StartDelay = startDelay
 	if cfg.FirstStart {
 		fc.StartDelay = firstStartDelay
 	}
--- a/internal/published/follower.go
+++ b/internal/published/follower.go
@@ -72,8 +72,12 @@
 	// may come. Together they bound the time in which a follower of a frozen node learns nothing.
 	peerWait  = time.Second
 	peerSlack = 300 * time.Millisecond
-	// badReader is the time for which a node that could not be followed is passed over.
-	badReader = 4 * time.Second
+	// badReader is the time for which a node that could not be followed is passed over at first. It doubles with each
+	// failure in a row, maxBadDoublings times at most: a frozen node costs its followers the whole wait each time.
+	badReader       = 2 * time.Second
+	maxBadDoublings = 4
+	// trialWait is the wait at a node that could not be followed the last time.
+	trialWait = 100 * time.Millisecond
 	// spreadPause is the pause after an answer with changes. Targets register one after another; without it, each would
 	// cost a call of the store.
 	spreadPause = 150 * time.Millisecond
@@ -114,12 +118,13 @@
 
 	confirmed time.Time            // when the store last confirmed the state, directly or through another node
 	bad       map[string]time.Time // nodes that could not be followed, until when they are passed over
+	failed    map[string]int       // how often in a row a node could not be followed
 	changed   chan struct{}        // closed at the next change of the state
 }
 
 // NewFollower returns a follower that knows nothing yet.
 func NewFollower(cfg Config, deps Deps) *Follower {
-	f := &Follower{cfg: cfg, deps: deps, state: newState(), wake: make(chan struct{}, 1), bad: map[string]time.Time{}, changed: make(chan struct{})}
+	f := &Follower{cfg: cfg, deps: deps, state: newState(), wake: make(chan struct{}, 1), bad: map[string]time.Time{}, failed: map[string]int{}, changed: make(chan struct{})}
 	f.view.Store(f.state.view(time.Now()))
 	f.m = newFollowerMetrics(deps.Metrics, f)
 	return f
@@ -132,7 +137,7 @@
 func (f *Follower) Snapshot() Snapshot {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.state.snapshot(time.Now())
+	return f.state.snapshot()
 }
 
 // Run follows the store until ctx ends.
@@ -229,7 +234,9 @@
 	f.deps.Log.WithError(err).WithField("reader", id).Info("cannot follow the node that reads the store; the next one takes its place")
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.bad[id] = time.Now().Add(badReader)
+	f.failed[id]++
+	pause := badReader << min(f.failed[id]-1, maxBadDoublings)
+	f.bad[id] = time.Now().Add(pause)
 }
 
 var errEmpty = eris.New("published: the store has published nothing yet")
@@ -238,11 +245,15 @@
 
 // followNode takes the changes that another node of the failure domain has learned.
 func (f *Follower) followNode(ctx context.Context, id string) error {
-	ctx, cancel := context.WithTimeout(ctx, peerWait+peerSlack)
+	wait := peerWait
+	if f.failures(id) > 0 {
+		wait = trialWait
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+peerSlack)
 	defer cancel()
 	f.setAbandon(cancel)
 	f.m.follows.Inc()
-	d, err := f.deps.Peers.Watch(ctx, id, f.View().Revision, peerWait)
+	d, err := f.deps.Peers.Watch(ctx, id, f.View().Revision, wait)
 	if err != nil {
 		return err
 	}
@@ -254,45 +265,63 @@
 		return nil
 	}
 	age := time.Duration(d.AgeMS) * time.Millisecond
-	if age > f.cfg.Wait+2*f.cfg.Slack {
+	if age >= f.maxAge()-time.Millisecond {
 		return errStale
 	}
-	f.confirm(time.Now().Add(-age))
+	f.confirm(id, time.Now().Add(-age))
 	f.merge("reader "+id, func(s *state, now time.Time) outcome { return s.follow(d, now) })
 	return nil
 }
 
-// confirm notes when the store last confirmed the state.
-func (f *Follower) confirm(at time.Time) {
+// failures is how often in a row a node could not be followed.
+func (f *Follower) failures(id string) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	return f.failed[id]
+}
+
+// confirm notes when the store last confirmed the state that a node told.
+func (f *Follower) confirm(id string, at time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.failed, id)
 	if at.After(f.confirmed) {
 		f.confirmed = at
 	}
 }
 
-// Offer answers a node that follows this one.
+// maxAge is the age of a confirmation by the store up to which a node may be followed. A sound reader is confirmed at
+// least every Wait.
+func (f *Follower) maxAge() time.Duration { return f.cfg.Wait + f.cfg.Slack/2 }
+
+// Offer answers a node that follows this one. It answers at once when the state is too old to be followed.
 func (f *Follower) Offer(ctx context.Context, revision uint64, wait time.Duration) Delta {
-	timer := time.NewTimer(min(wait, peerWait))
-	defer timer.Stop()
-	waited := false
+	end := time.Now().Add(min(wait, peerWait))
 	for {
 		f.mu.Lock()
 		changed, now := f.changed, time.Now()
-		d := f.state.delta(revision, now)
+		d := f.state.delta(revision)
 		d.Starting = f.confirmed.IsZero()
+		age := now.Sub(f.confirmed)
+		f.mu.Unlock()
 		if !d.Starting {
-			d.AgeMS = now.Sub(f.confirmed).Milliseconds()
+			d.AgeMS = age.Milliseconds()
 		}
-		f.mu.Unlock()
-		if d.Revision > revision || waited {
+		left := end.Sub(now)
+		if !d.Starting {
+			left = min(left, f.maxAge()-age)
+		}
+		if d.Revision > revision || left <= 0 {
 			return d
 		}
+		timer := time.NewTimer(left)
 		select {
 		case <-changed:
 		case <-timer.C:
-			waited = true
 		case <-ctx.Done():
+		}
+		timer.Stop()
+		if ctx.Err() != nil {
 			return d
 		}
 	}
@@ -359,15 +388,12 @@
 	}
 }
 
-// noteAnswer notes that the store answers. After a loss, removals are held for a while.
+// noteAnswer notes that the store answers.
 func (f *Follower) noteAnswer() {
 	f.mu.Lock()
 	regained := f.lost
 	f.lost = false
 	f.confirmed = time.Now()
-	if regained {
-		f.state.storeReturned(time.Now())
-	}
 	f.mu.Unlock()
 	if regained {
 		f.deps.Log.WithField("revision", f.View().Revision).Info("the platform's store answers again")
--- a/internal/published/published.go
+++ b/internal/published/published.go
@@ -86,8 +86,8 @@
 type SnapshotTarget struct {
 	Target
 	Revision uint64 `json:"revision"`
-	// LapseLeftMS is set for a target whose entry is missing but is still used for this time.
-	LapseLeftMS int64 `json:"lapse_left_ms,omitempty"`
+	// Missing is set for a target whose entry is gone, but which the sender still uses for a while.
+	Missing bool `json:"missing,omitempty"`
 }
 
 // Delta is what a node tells another one that follows it: the changes after the revision that it asked for, or the whole
@@ -100,6 +100,4 @@
 	AgeMS int64 `json:"age_ms"`
 	// Starting is set by a node that has not read the store yet.
 	Starting bool `json:"starting,omitempty"`
-	// SettleLeftMS is how much longer entries that are missing may come back after an outage of the store.
-	SettleLeftMS int64 `json:"settle_left_ms,omitempty"`
 }
--- a/internal/published/state.go
+++ b/internal/published/state.go
@@ -12,8 +12,10 @@
 	// lapseHold is the time for which a target is still used after its entry disappeared around an outage of the store:
 	// the platform brings the entries of live targets back within about 2 s of its return.
 	lapseHold = 2 * time.Second
-	// massRemoval is the share of the targets whose removal in one answer is taken for an outage that was not noticed.
-	massRemoval = 1.0 / 3
+	// massRemoval is the share of the targets whose removal in one answer is taken for an outage of the store in which
+	// entries lapsed. A single node cannot tell an outage of the store from one of its own connection, and in the second
+	// case a missing target is gone.
+	massRemoval = 0.25
 	// massRemovalLeast is the number of targets below which removals in one answer are taken as they are.
 	massRemovalLeast = 4
 )
@@ -64,22 +66,20 @@
 	return out
 }
 
-// holdMassRemoval starts to hold removals when one answer takes away a large share of the targets.
+// holdMassRemoval starts to hold removals when one answer takes away a large share of the targets without a word of
+// theirs.
 func (s *state) holdMassRemoval(updates []Update, now time.Time) {
 	n := 0
 	for _, u := range updates {
-		if u.Removed != "" {
+		if e, known := s.targets[u.Removed]; known && !e.target.Draining && e.lapses.IsZero() {
 			n++
 		}
 	}
 	if n >= massRemovalLeast && float64(n) > massRemoval*float64(len(s.targets)) {
-		s.storeReturned(now)
+		s.settled = now.Add(lapseHold)
 	}
 }
 
-// storeReturned notes that the store answers again: for a while, missing entries may come back.
-func (s *state) storeReturned(now time.Time) { s.settled = now.Add(lapseHold) }
-
 func (s *state) apply(u Update, now time.Time, out *outcome) {
 	switch {
 	case u.Refused != "":
@@ -181,12 +181,7 @@
 			named[u.Target.ID] = true
 		}
 	}
-	missing := make([]Update, 0)
-	for id, e := range s.targets {
-		if !named[id] && e.lapses.IsZero() && e.revision <= l.AsOf {
-			missing = append(missing, Update{Revision: l.AsOf, Removed: id})
-		}
-	}
+	missing := s.unnamed(named, l.AsOf)
 	s.holdMassRemoval(missing, now)
 	for _, u := range l.Updates {
 		s.apply(u, now, &out)
@@ -201,17 +196,26 @@
 	return out
 }
 
+// unnamed lists the targets that a whole state as of a revision does not name, as removals.
+func (s *state) unnamed(named map[string]bool, asOf uint64) []Update {
+	var missing []Update
+	for id, e := range s.targets {
+		if !named[id] && e.lapses.IsZero() && e.revision <= asOf {
+			missing = append(missing, Update{Revision: asOf, Removed: id})
+		}
+	}
+	return missing
+}
+
 // snapshot is the state for a peer.
-func (s *state) snapshot(now time.Time) Snapshot {
+func (s *state) snapshot() Snapshot {
 	out := Snapshot{Revision: s.revision, ConfigAt: s.configAt}
 	if s.table != nil {
 		out.Configuration = s.table.Configuration
 	}
 	for _, e := range s.targets {
 		t := SnapshotTarget{Target: e.target, Revision: e.revision}
-		if !e.lapses.IsZero() {
-			t.LapseLeftMS = max(1, e.lapses.Sub(now).Milliseconds())
-		}
+		t.Missing = !e.lapses.IsZero()
 		out.Targets = append(out.Targets, t)
 	}
 	return out
@@ -228,17 +232,15 @@
 	}
 	named := make(map[string]bool, len(p.Targets))
 	for _, t := range p.Targets {
-		named[t.ID] = true
-		e := entry{target: t.Target, revision: t.Revision}
-		if t.LapseLeftMS > 0 {
-			e.lapses = now.Add(min(lapseHold, time.Duration(t.LapseLeftMS)*time.Millisecond))
+		if !t.Missing {
+			named[t.ID] = true
+			s.applyTarget(entry{target: t.Target, revision: t.Revision}, &out)
 		}
-		s.applyTarget(e, &out)
 	}
-	for id, e := range s.targets {
-		if !named[id] && e.revision <= p.Revision {
-			s.remove(id, now, &out)
-		}
+	missing := s.unnamed(named, p.Revision)
+	s.holdMassRemoval(missing, now)
+	for _, u := range missing {
+		s.remove(u.Removed, now, &out)
 	}
 	s.revision = p.Revision
 	s.log.restart(s.revision)
@@ -246,28 +248,19 @@
 }
 
 // delta is what a follower that knows all changes up to the revision lacks.
-func (s *state) delta(revision uint64, now time.Time) Delta {
+func (s *state) delta(revision uint64) Delta {
 	d := Delta{Revision: s.revision}
-	if left := s.settled.Sub(now); left > 0 {
-		d.SettleLeftMS = left.Milliseconds()
-	}
 	if updates, ok := s.log.since(revision); ok {
 		d.Updates = updates
 		return d
 	}
-	full := s.snapshot(now)
+	full := s.snapshot()
 	d.Full = &full
 	return d
 }
 
 // follow merges what another node told.
 func (s *state) follow(d Delta, now time.Time) outcome {
-	if d.SettleLeftMS > 0 {
-		until := now.Add(min(lapseHold, time.Duration(d.SettleLeftMS)*time.Millisecond))
-		if until.After(s.settled) {
-			s.settled = until
-		}
-	}
 	if d.Full != nil {
 		return s.adopt(*d.Full, now)
 	}
