--- a/internal/balance/outlier.go
+++ b/internal/balance/outlier.go
@@ -96,6 +96,9 @@
 		}
 		return p.noteSlow(s, latency, false, now)
 	case Shed:
+		// A target that sheds now and then is avoided for a moment; one that goes on shedding is avoided at the cost of a
+		// failure, since each refusal costs another attempt.
+		s.addOutcome(true, now)
 		s.shedUntil = now.Add(shedBackoff)
 	}
 	return false
--- a/internal/query/serve.go
+++ b/internal/query/serve.go
@@ -45,7 +45,26 @@
 	req    *Request
 	view   *published.View
 	route  *routing.Route
-	works  []*work
+	notes  servingNotes
+}
+
+// servingNotes is what the log line of a request says about its attempts.
+type servingNotes struct {
+	attempts, hedges, retries int
+	slowest                   workResult // the part that took longest
+	lost                      []string   // services that brought no part, with the reason
+}
+
+func (n *servingNotes) add(res workResult) {
+	n.attempts += res.notes.attempts
+	n.hedges += res.notes.hedges
+	n.retries += res.notes.retries
+	if res.took > n.slowest.took {
+		n.slowest = res
+	}
+	if !res.served() {
+		n.lost = append(n.lost, res.service+": "+string(res.failure))
+	}
 }
 
 var errTimeout = errors.New("the request's time is over")
@@ -102,8 +121,8 @@
 	if w.service == nil {
 		return Answer{Status: Refused, Reason: "service " + name + " has no targets", RetryAfter: busyRetry}
 	}
-	s.works = []*work{&w}
 	res := w.run(ctx)
+	s.notes.add(res)
 	s.noteSuccess(w.fp, res.served())
 	switch {
 	case res.reply != nil && !res.notRun:
@@ -133,16 +152,15 @@
 	defer cancel()
 	c := &collector{
 		wait:  hedge.WorthWait{Goal: proto.goal.Sub(proto.start), End: proto.deadline.Sub(proto.start), MinShare: s.route.MinShare},
-		start: proto.start, total: len(s.route.Gather), results: make(chan attemptResult, len(s.route.Gather)), notRun: true,
+		start: proto.start, total: len(s.route.Gather), results: make(chan workResult, len(s.route.Gather)), notRun: true, notes: &s.notes,
 	}
 	for _, name := range s.route.Gather {
 		w := proto
 		w.service = s.engine.service(name)
 		if w.service == nil {
-			c.results <- attemptResult{failure: failureUnreachable, notRun: true}
+			c.results <- workResult{attemptResult: attemptResult{failure: failureUnreachable, notRun: true}, service: name}
 			continue
 		}
-		s.works = append(s.works, &w)
 		go func() { c.results <- w.run(ctx) }()
 	}
 	c.collect(ctx)
@@ -177,7 +195,8 @@
 	wait    hedge.WorthWait
 	start   time.Time
 	total   int
-	results chan attemptResult
+	results chan workResult
+	notes   *servingNotes
 	parts   []*Reply
 	failed  int
 	notRun  bool // no part has run
@@ -209,7 +228,8 @@
 	}
 }
 
-func (c *collector) add(res attemptResult) {
+func (c *collector) add(res workResult) {
+	c.notes.add(res)
 	c.notRun = c.notRun && res.notRun
 	if res.served() {
 		c.parts = append(c.parts, res.reply)
@@ -236,6 +256,15 @@
 	if a.Gathered != nil {
 		fields["parts"], fields["missing"] = len(a.Gathered.Signatures), a.Gathered.Missing
 	}
+	n := s.notes
+	fields["attempts"], fields["hedges"], fields["retries"] = n.attempts, n.hedges, n.retries
+	if len(n.slowest.notes.tried) > 0 {
+		fields["slowest"], fields["slowest_ms"] = n.slowest.service, n.slowest.took.Milliseconds()
+		fields["slowest_tried"] = n.slowest.notes.tried
+	}
+	if len(n.lost) > 0 {
+		fields["lost"] = n.lost
+	}
 	if a.Reply != nil {
 		fields["code"] = a.Reply.Status
 	}
--- a/internal/query/work.go
+++ b/internal/query/work.go
@@ -57,12 +57,26 @@
 	attempts int
 	hedges   int
 	retries  int
-	last     attemptResult
+	tried    []string // targets in the order of the attempts
 }
 
-// run makes attempts until one is served, none can help any more, or ctx ends. The result is that of the served attempt,
-// or the last one. It returns a failureCancelled result when ctx ended.
-func (w *work) run(ctx context.Context) attemptResult {
+// run runs the request on the service and returns the result with what the log says about it.
+func (w *work) run(ctx context.Context) workResult {
+	res := w.attempts(ctx)
+	return workResult{attemptResult: res, service: w.service.name, notes: w.notes, took: time.Since(w.start)}
+}
+
+// workResult is the end of a work.
+type workResult struct {
+	attemptResult
+	service string
+	notes   workNotes
+	took    time.Duration
+}
+
+// attempts makes attempts until one is served, none can help any more, or ctx ends. The result is that of the served
+// attempt, or the last one. It returns a failureCancelled result when ctx ended.
+func (w *work) attempts(ctx context.Context) attemptResult {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel() // ends the losers' work at their targets
 	w.results = make(chan attemptResult, maxFreeAttempts+maxRefusals+w.route.Attempts+2)
@@ -82,7 +96,6 @@
 			w.hedge(ctx, timer)
 		case res := <-w.results:
 			w.open--
-			w.notes.last = res
 			proved = proved && res.notRun
 			w.learn(res)
 			if res.served() || !w.mayRepeat(res) {
@@ -128,6 +141,7 @@
 	}
 	w.open++
 	w.notes.attempts++
+	w.notes.tried = append(w.notes.tried, id)
 	w.engine.m.attempts[kind].Inc()
 	go func() { w.results <- w.attempt(ctx, choice, kind, fresh) }()
 	return true
