--- a/internal/balance/outlier.go
+++ b/internal/balance/outlier.go
@@ -77,7 +77,7 @@
 	latency := max(0, o.Latency-s.Hop)
 	switch o.Result {
 	case Success:
-		s.addLatency(latency, now)
+		s.addLatency(latency, p.gain(s, latency), now)
 		s.addOutcome(false, now)
 		s.failures = 0
 		return p.noteSlow(s, latency, true, now)
@@ -92,7 +92,7 @@
 	case Cancelled:
 		// A lower bound says nothing when it is below the current estimate.
 		if latency > s.typical() {
-			s.addLatency(latency, now)
+			s.addLatency(latency, p.gain(s, latency), now)
 		}
 		return p.noteSlow(s, latency, false, now)
 	case Shed:
@@ -118,6 +118,14 @@
 	return false
 }
 
+// gain is the weight of a new latency.
+func (p *Picker) gain(s *state, latency time.Duration) float64 {
+	if isSlow(latency, p.reference(s)) {
+		return slowGain
+	}
+	return latencyGain
+}
+
 func isSlow(latency, reference time.Duration) bool {
 	return latency > slowFactor*reference && latency > reference+slowMargin
 }
@@ -135,7 +143,8 @@
 	if s.slow > 0 && s.seen.Sub(s.slowSince) < p.config.SlowSpan {
 		return false
 	}
-	return s.slow >= slowToEject || s.samples >= minSamples && isSlow(s.typical(), p.reference(s))
+	// A single slow call moves the mean by slowGain, so it takes another one for the mean to eject.
+	return s.slow >= slowToEject || s.slow != 1 && s.samples >= minSamples && isSlow(s.typical(), p.reference(s))
 }
 
 // observed counts the other targets with known latency; without any there is nothing to compare with.
@@ -227,5 +236,5 @@
 	s.phase, s.readmitted, s.coldSince = phaseActive, now, now
 	s.failures, s.slow, s.failRate = 0, 0, 0
 	s.samples, s.logLatency = 0, 0
-	s.addLatency(o.Latency-s.Hop, now)
+	s.addLatency(o.Latency-s.Hop, latencyGain, now)
 }
--- a/internal/balance/target.go
+++ b/internal/balance/target.go
@@ -61,6 +61,9 @@
 const (
 	// latencyGain weighs a new latency; the mean then rests on about the last 10 calls.
 	latencyGain = 0.2
+	// slowGain weighs a latency that is slow in relation to the other targets: a target that has become slow costs each
+	// further call more than a good one that is avoided for a moment.
+	slowGain = 0.5
 	// failGain weighs a new success or failure.
 	failGain = 0.2
 	// forgetHalfLife ages what is known about a target that is not used, so that it is tried again.
@@ -119,12 +122,12 @@
 	return append(list, v)
 }
 
-func (s *state) addLatency(d time.Duration, now time.Time) {
+func (s *state) addLatency(d time.Duration, gain float64, now time.Time) {
 	v := math.Log(float64(max(d, time.Microsecond)))
 	if s.samples == 0 {
 		s.logLatency = v
 	} else {
-		s.logLatency += latencyGain * (v - s.logLatency)
+		s.logLatency += gain * (v - s.logLatency)
 	}
 	s.samples++
 	s.seen = now
--- a/internal/gateway/core.go
+++ b/internal/gateway/core.go
@@ -66,7 +66,7 @@
 		return nil, eris.Wrap(err, "load state charts")
 	}
 	c := &core{cfg: cfg, env: env, strikes: quarantine.NewStrikes(), peers: peer.NewPool(env.DialPeer), life: charts.Node.NewMachine()}
-	c.engine = query.New(query.Config{Domain: cfg.Domain, Regions: cfg.Regions, Budget: cfg.Budget}, query.Deps{
+	c.engine = query.New(query.Config{Domain: cfg.Domain, Regions: cfg.Regions, Budget: cfg.Budget, FirstStart: cfg.FirstStart}, query.Deps{
 		Codec: env.Codec, Strikes: c.strikes, Charts: charts, Log: env.Log, Metrics: env.Set, Nodes: c.nodes, OnStrike: c.tellStrike,
 	})
 	deps := published.Deps{Source: env.Source, Log: env.Log, Metrics: env.Set, Changed: c.publishedChanged}
--- a/internal/hedge/budget.go
+++ b/internal/hedge/budget.go
@@ -39,6 +39,13 @@
 	return &Budget{deposit: int64(share * tokenUnit), limit: int64(burst * tokenUnit)}
 }
 
+// Fill gives the budget all the tokens that it can hold.
+func (b *Budget) Fill() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.tokens = b.limit
+}
+
 // SetBurst changes the number of tokens that the budget can hold. Tokens above it are lost.
 func (b *Budget) SetBurst(burst float64) {
 	b.mu.Lock()
--- a/internal/query/engine.go
+++ b/internal/query/engine.go
@@ -19,6 +19,8 @@
 	Domain  string            // failure domain of this node
 	Regions map[string]string // region by failure domain
 	Budget  BudgetRule
+	// FirstStart is set when the whole system starts for the first time.
+	FirstStart bool
 }
 
 // Deps are what an Engine works with.
@@ -43,9 +45,11 @@
 	budgets *budgets
 	hops    *hops
 	checks  crashChecks
+	first   chan struct{} // closed when the first configuration is known
 
 	mu       sync.RWMutex // guards the fields below
 	view     *published.View
+	known    bool // a configuration has been known
 	services map[string]*service
 	targets  map[string]*targetClient
 
@@ -67,9 +71,9 @@
 		deps.Nodes = func() int { return 1 }
 	}
 	return &Engine{
-		cfg: cfg, deps: deps, m: newCounters(deps.Metrics), budgets: newBudgets(cfg.Budget), hops: newHops(cfg.Domain, cfg.Regions),
-		checks: crashChecks{running: map[string][]crashSuspect{}},
-		view:   &published.View{}, services: map[string]*service{}, targets: map[string]*targetClient{}, routes: map[string]*routeState{},
+		cfg: cfg, deps: deps, m: newCounters(deps.Metrics), budgets: newBudgets(cfg.Budget, cfg.FirstStart), hops: newHops(cfg.Domain, cfg.Regions),
+		checks: crashChecks{running: map[string][]crashSuspect{}}, first: make(chan struct{}),
+		view: &published.View{}, services: map[string]*service{}, targets: map[string]*targetClient{}, routes: map[string]*routeState{},
 	}
 }
 
--- a/internal/query/serve.go
+++ b/internal/query/serve.go
@@ -15,8 +15,11 @@
 const (
 	// answerReserve is kept from the goal for the caller's way in and the answer's way out.
 	answerReserve = 20 * time.Millisecond
-	// notReadyRetry is when a caller may come back to a node that knows no configuration yet.
-	notReadyRetry = 500 * time.Millisecond
+	// notReadyRetry is when a caller may come back to a node that knows no configuration yet: a started process reads it
+	// within some tenths of a second.
+	notReadyRetry = 150 * time.Millisecond
+	// notReadyWait is how long a request waits for the first configuration before it is refused.
+	notReadyWait = 30 * time.Millisecond
 	// busyRetry is when a caller may come back after all targets refused its request.
 	busyRetry = 100 * time.Millisecond
 	// timeoutMargin is kept from the caller's own limit, so that the final answer reaches it in time.
@@ -27,7 +30,7 @@
 
 // Serve runs a request and returns its final answer. ctx ends when the caller leaves.
 func (e *Engine) Serve(ctx context.Context, r *Request) Answer {
-	view := e.current()
+	view := e.configured(ctx)
 	s := &serving{engine: e, req: r, view: view}
 	a := s.serve(ctx)
 	if a.Status != Served && ctx.Err() != nil && context.Cause(ctx) == context.Canceled {
@@ -39,6 +42,22 @@
 	return a
 }
 
+// configured returns the current view. Just after the start it waits a moment for the first configuration.
+func (e *Engine) configured(ctx context.Context) *published.View {
+	view := e.current()
+	if view.Table != nil {
+		return view
+	}
+	timer := time.NewTimer(notReadyWait)
+	defer timer.Stop()
+	select {
+	case <-e.first:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return e.current()
+}
+
 // serving is one request on its way through the engine.
 type serving struct {
 	engine *Engine
--- a/internal/query/service.go
+++ b/internal/query/service.go
@@ -84,6 +84,10 @@
 		}
 	}
 	e.targets = kept
+	if e.view.Table == nil && v.Table != nil && !e.known {
+		e.known = true
+		close(e.first)
+	}
 	e.view = v
 	e.setCaps()
 }
