--- a/cmd/medlarshunt/serve.go
+++ b/cmd/medlarshunt/serve.go
@@ -83,9 +83,12 @@
 	log.Info("process stops")
 	stopCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), settings.Grace)
 	defer cancel()
-	err = g.Stop(stopCtx)
-	log.WithError(err).Info("process stopped")
-	return err
+	if err := g.Stop(stopCtx); err != nil {
+		log.WithError(err).Error("process stopped before its requests had ended")
+		return err
+	}
+	log.Info("process stopped")
+	return nil
 }
 
 // followSignals returns when ctx ends. A changed settings file is checked and reported; addresses and bounds of a running
--- a/internal/query/query.go
+++ b/internal/query/query.go
@@ -90,8 +90,8 @@
 // recordBytes is the size of one record of a part.
 const recordBytes = 16
 
-// outcomeOf tells whether a caller may believe that the request has not run.
-func (s Status) outcomeOf() api.Outcome {
+// outcome tells whether the request has run, as far as it is known.
+func (s Status) outcome() api.Outcome {
 	switch s {
 	case Served:
 		return api.Ran
--- a/internal/query/serve.go
+++ b/internal/query/serve.go
@@ -260,7 +260,7 @@
 // log writes the one line of a request.
 func (s *serving) log(a Answer, elapsed time.Duration) {
 	fields := logrus.Fields{
-		"request_id": s.req.ID, "status": a.Status.String(), "ms": elapsed.Milliseconds(), "left_ms": s.req.Left.Milliseconds(),
+		"request_id": s.req.ID, "status": a.Status.String(), "outcome": a.Status.outcome(), "ms": elapsed.Milliseconds(), "left_ms": s.req.Left.Milliseconds(),
 		"version": s.view.Version(), "revision": s.view.Revision,
 	}
 	if s.route != nil {
