--- a/internal/standin/shardsim/shardsim.go
+++ b/internal/standin/shardsim/shardsim.go
@@ -50,6 +50,12 @@
 	Started  time.Time
 }
 
+// Arrival is a request that reached a target, whether it ran or was refused.
+type Arrival struct {
+	ID string
+	At time.Time
+}
+
 // Target is a stand-in target. mu guards the fields below it.
 type Target struct {
 	cfg   Config
@@ -61,6 +67,7 @@
 	faults   Faults
 	wake     chan struct{}
 	runs     []Run
+	arrivals []Arrival
 	rejected int
 	cancels  int
 	crashes  int
@@ -145,7 +152,7 @@
 	if !t.await(r.Context()) {
 		return
 	}
-	f, draining := t.state()
+	f, draining := t.arrive(r.Header.Get("X-Request-Id"))
 	if draining {
 		w.Header().Set("Connection", "close")
 	}
@@ -163,12 +170,20 @@
 	t.run(w, r, body, f)
 }
 
-func (t *Target) state() (Faults, bool) {
+func (t *Target) arrive(id string) (Faults, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.arrivals = append(t.arrivals, Arrival{ID: id, At: time.Now()})
 	return t.faults, t.draining
 }
 
+// Arrivals returns the requests that reached the target, oldest first.
+func (t *Target) Arrivals() []Arrival {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return append([]Arrival(nil), t.arrivals...)
+}
+
 // await waits while the target is paused.
 func (t *Target) await(ctx context.Context) bool {
 	for {
--- a/test/platform/platform_test.go
+++ b/test/platform/platform_test.go
@@ -49,22 +49,33 @@
 
 // site is a deployment of stand-ins and processes.
 type site struct {
-	t       *testing.T
-	g       *WithT
-	store   *kvsim.Store
-	address string
-	targets map[string]*shardsim.Target
-	nodes   []*process
-	seeds   string
-	version int
+	t         *testing.T
+	g         *WithT
+	store     *kvsim.Store
+	address   string
+	targets   map[string]*shardsim.Target
+	addresses map[string]string // by target
+	nodes     []*process
+	seeds     string
+	version   int
 }
 
 // process is one running node.
 type process struct {
 	name, front, ready, control, metrics string
-	cmd                                  *exec.Cmd
-	log                                  *lines
 	settings                             string
+	restarting                           sync.Mutex // held by the one that ends and starts the process
+
+	mu  sync.Mutex // guards the fields below
+	cmd *exec.Cmd
+	log *lines
+}
+
+// command is the present run of the process.
+func (p *process) command() *exec.Cmd {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cmd
 }
 
 // lines keeps what a process writes. mu guards text.
@@ -99,7 +110,7 @@
 }
 
 func newSite(t *testing.T, nodes int) *site {
-	s := &site{t: t, g: NewWithT(t), store: kvsim.New(), targets: map[string]*shardsim.Target{}}
+	s := &site{t: t, g: NewWithT(t), store: kvsim.New(), targets: map[string]*shardsim.Target{}, addresses: map[string]string{}}
 	l := listen(s.g)
 	s.address = l.Addr().String()
 	go s.store.Serve(l)
@@ -141,18 +152,18 @@
 	l := listen(s.g)
 	go target.Serve(l)
 	s.t.Cleanup(target.Close)
-	s.targets[id] = target
+	s.targets[id], s.addresses[id] = target, l.Addr().String()
 	s.register(id, service, l.Addr().String(), "ready")
 }
 
-func (s *site) register(id, service, address, state string) {
-	s.store.Put("servers/"+id, map[string]any{
+func (s *site) register(id, service, address, state string) (revision uint64) {
+	return s.store.Put("servers/"+id, map[string]any{
 		"service": service, "address": address, "zone": "a", "version": "v1", "slots": 4, "state": state, "cold_left_ms": 0, "seq": 1,
 	})
 }
 
-// configure publishes the next version, with the single requests under a prefix.
-func (s *site) configure(prefix string) {
+// configure publishes the next version, with the single requests under some prefixes.
+func (s *site) configure(prefixes ...string) {
 	s.version += 3
 	var services []map[string]any
 	for _, name := range append(s.shards(), "desk") {
@@ -161,15 +172,24 @@
 	s.store.Put("op/config", map[string]any{
 		"version": s.version, "services": services,
 		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 10000, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-		"routes": []map[string]any{
-			{"name": "all", "host": host, "prefix": "/all/", "kind": "idempotent", "timeout_ms": 2000, "target_latency_ms": 500, "attempts": 2,
-				"priority": 1, "gather": s.shards(), "top_k": 4, "min_success_share": 0.6},
-			{"name": "desk", "host": host, "prefix": prefix, "kind": "non_idempotent", "timeout_ms": 2000, "target_latency_ms": 500, "attempts": 2,
-				"priority": 2, "service": "desk"},
-		},
+		"routes": append(deskRoutes(prefixes), map[string]any{
+			"name": "all", "host": host, "prefix": "/all/", "kind": "idempotent", "timeout_ms": 2000, "target_latency_ms": 500, "attempts": 2,
+			"priority": 1, "gather": s.shards(), "top_k": 4, "min_success_share": 0.6,
+		}),
 	})
 }
 
+// deskRoutes are routes for single requests that must not run twice.
+func deskRoutes(prefixes []string) (routes []map[string]any) {
+	for _, prefix := range prefixes {
+		routes = append(routes, map[string]any{
+			"name": "desk" + prefix, "host": host, "prefix": prefix, "kind": "non_idempotent", "timeout_ms": 2000, "target_latency_ms": 500,
+			"attempts": 2, "priority": 2, "service": "desk",
+		})
+	}
+	return routes
+}
+
 // start starts a node; first is the platform's word that the whole system starts.
 func (s *site) start(p *process, first bool) {
 	text := fmt.Sprintf(`node = %q
@@ -194,17 +214,19 @@
 address = %q
 `, p.name, s.seeds, first, p.front, p.ready, p.control, s.address)
 	s.g.Expect(os.WriteFile(p.settings, []byte(text), 0o600)).To(Succeed())
-	p.log = &lines{}
-	p.cmd = exec.Command(binary, "serve", "--metrics-listen", p.metrics)
-	p.cmd.Env = append(os.Environ(), "MEDLARSHUNT_CONFIG="+p.settings)
-	p.cmd.Stdout, p.cmd.Stderr = p.log, p.log
-	s.g.Expect(p.cmd.Start()).To(Succeed())
-	cmd := p.cmd
+	log := &lines{}
+	cmd := exec.Command(binary, "serve", "--metrics-listen", p.metrics)
+	cmd.Env = append(os.Environ(), "MEDLARSHUNT_CONFIG="+p.settings)
+	cmd.Stdout, cmd.Stderr = log, log
+	s.g.Expect(cmd.Start()).To(Succeed())
+	p.mu.Lock()
+	p.cmd, p.log = cmd, log
+	p.mu.Unlock()
 	s.t.Cleanup(func() {
 		_ = cmd.Process.Kill() // it may have ended
 		_ = cmd.Wait()
 		if s.t.Failed() {
-			s.t.Logf("%s:\n%s", p.name, p.log)
+			s.t.Logf("%s:\n%s", p.name, log)
 		}
 	})
 }
