--- a/internal/gateway/core.go
+++ b/internal/gateway/core.go
@@ -28,6 +28,8 @@
 	// fanout is the number of nodes of the own failure domain per heartbeat, domainFanout that of each other one.
 	fanout       = 2
 	domainFanout = 1
+	// domainEvery is the number of heartbeats between those that reach other failure domains, where bytes have a price.
+	domainEvery = 3
 	// upkeepInterval is how often connections are trimmed and caps follow the number of nodes.
 	upkeepInterval = time.Second
 	// strikeInterval is how often strikes that peers told are applied.
@@ -51,7 +53,6 @@
 	life     *statechart.Machine[statechart.NodeState, statechart.NodeEvent]
 
 	mostNodes atomic.Int64 // largest number of live nodes seen together
-	revision  atomic.Uint64
 
 	cancel context.CancelFunc
 	loops  sync.WaitGroup
@@ -93,7 +94,8 @@
 		return eris.Wrap(err, "make incarnation")
 	}
 	mc := membership.DefaultConfig()
-	mc.Seeds, mc.Heartbeat, mc.Fanout, mc.DomainFanout = c.cfg.Seeds, heartbeat, fanout, domainFanout
+	mc.Seeds, mc.Heartbeat, mc.Fanout = c.cfg.Seeds, heartbeat, fanout
+	mc.DomainFanout, mc.DomainEvery = domainFanout, domainEvery
 	self := membership.Record{
 		ID: c.cfg.Node, Incarnation: id.String(), Region: c.cfg.Regions[c.cfg.Domain], Domain: c.cfg.Domain,
 		Roles: []membership.Role{membership.RoleEntry, membership.RoleRelay}, Address: c.env.Peers.Addr().String(), Life: statechart.NodeStarting,
@@ -130,17 +132,14 @@
 // publishedChanged puts a new view in force and tells the peers which one it is.
 func (c *core) publishedChanged(v *published.View) {
 	c.engine.Update(v)
-	if v.Table != nil && c.lifeState() == statechart.NodeSyncing {
+	if v.Table != nil && c.life.State() == statechart.NodeSyncing {
 		c.fire(statechart.NodeSynced)
 	}
-	c.revision.Store(v.Revision)
 	if c.members != nil {
 		c.members.Hold(membership.Versions{Config: config.Version{Number: v.Version()}, Catalogue: config.Version{Number: v.Revision}})
 	}
 }
 
-func (c *core) lifeState() statechart.NodeState { return c.life.State() }
-
 func (c *core) fire(event statechart.NodeEvent) {
 	before := c.life.State()
 	after, err := c.life.Fire(event)
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -60,7 +60,7 @@
 	for _, domain := range p.members.Domains() {
 		for _, m := range p.members.Members(domain) {
 			newer := m.Held.Catalogue.Number > revision || m.Held.Config.Number > version
-			if m.ID == p.self || m.Status != membership.Alive || !newer {
+			if m.ID == p.self || m.Status == membership.Dead || !newer {
 				continue
 			}
 			if domain == own {
--- a/internal/membership/config.go
+++ b/internal/membership/config.go
@@ -22,8 +22,11 @@
 	ExchangeTimeout time.Duration
 	Fanout          int
 	DomainFanout    int
-	Seeds           []string
-	Bounds          Bounds
+	// DomainEvery makes only each n-th heartbeat reach other failure domains, where the bytes between them are dear; 0 and 1
+	// take each one. Nodes of other failure domains are then suspect at times, which only their own failure domain acts on.
+	DomainEvery int
+	Seeds       []string
+	Bounds      Bounds
 }
 
 // DefaultConfig returns the settings that apply without flags.
--- a/internal/membership/loop.go
+++ b/internal/membership/loop.go
@@ -35,7 +35,7 @@
 	Hooks     Hooks
 }
 
-// Loop exchanges heartbeats and digests with peers. mu guards view, seeds, isSeed, busy and told.
+// Loop exchanges heartbeats and digests with peers. mu guards view, seeds, isSeed, busy, told and beats.
 type Loop struct {
 	cfg     Config
 	deps    Deps
@@ -48,6 +48,7 @@
 	isSeed map[string]bool
 	busy   map[string]bool
 	told   bool
+	beats  int
 }
 
 // NewLoop returns a loop for the node that self describes. Errors are *Error.
@@ -93,13 +94,20 @@
 	}
 }
 
+// firstBeats is the number of heartbeats of a new process that reach other failure domains in any case.
+const firstBeats = 5
+
 // beat counts a heartbeat and returns the peers to send it to. Peers with an exchange under way are left out, so
 // that a slow peer holds one exchange only.
 func (l *Loop) beat() []contactPoint {
 	var out []contactPoint
 	l.with(func(v *View) {
 		v.Tick()
-		for _, c := range v.contacts(l.cfg, l.seeds, l.deps.Rand) {
+		cfg := l.cfg
+		if l.beats++; cfg.DomainEvery > 1 && l.beats > firstBeats && l.beats%cfg.DomainEvery != 0 {
+			cfg.DomainFanout = 0
+		}
+		for _, c := range v.contacts(cfg, l.seeds, l.deps.Rand) {
 			if !l.busy[c.address] {
 				l.busy[c.address] = true
 				out = append(out, c)
