--- a/internal/published/follower.go
+++ b/internal/published/follower.go
@@ -125,7 +125,7 @@
 // NewFollower returns a follower that knows nothing yet.
 func NewFollower(cfg Config, deps Deps) *Follower {
 	f := &Follower{cfg: cfg, deps: deps, state: newState(), wake: make(chan struct{}, 1), bad: map[string]time.Time{}, failed: map[string]int{}, changed: make(chan struct{})}
-	f.view.Store(f.state.view(time.Now()))
+	f.view.Store(f.state.view())
 	f.m = newFollowerMetrics(deps.Metrics, f)
 	return f
 }
@@ -411,7 +411,7 @@
 	if !out.changed && f.state.revision == before {
 		return
 	}
-	v := f.state.view(now)
+	v := f.state.view()
 	f.view.Store(v)
 	close(f.changed)
 	f.changed = make(chan struct{})
--- a/internal/published/follower_test.go
+++ b/internal/published/follower_test.go
@@ -248,6 +248,6 @@
 	g.Expect(s.delta(8999).Updates).To(HaveLen(2))
 	follower.follow(s.delta(1), t0)
 	g.Expect(ids(follower)).To(ConsistOf("b"))
-	g.Expect(follower.view(t0).Version()).To(BeEquivalentTo(2))
+	g.Expect(follower.view().Version()).To(BeEquivalentTo(2))
 	g.Expect(s.delta(9001).Updates).To(BeEmpty())
 }
--- a/internal/published/published.go
+++ b/internal/published/published.go
@@ -63,7 +63,6 @@
 	Table    *routing.Table      // nil until a configuration is known
 	Targets  map[string][]Target // by service, ordered by id
 	Revision uint64              // all changes up to it are in the view
-	Learned  time.Time           // when the view was made
 }
 
 // Version is the configuration version in force, 0 for none.
--- a/internal/published/state.go
+++ b/internal/published/state.go
@@ -268,8 +268,8 @@
 }
 
 // view makes the immutable view of the state.
-func (s *state) view(now time.Time) *View {
-	v := &View{Table: s.table, Targets: map[string][]Target{}, Revision: s.revision, Learned: now}
+func (s *state) view() *View {
+	v := &View{Table: s.table, Targets: map[string][]Target{}, Revision: s.revision}
 	for _, e := range s.targets {
 		v.Targets[e.target.Service] = append(v.Targets[e.target.Service], e.target)
 	}
--- a/internal/published/state_test.go
+++ b/internal/published/state_test.go
@@ -25,7 +25,7 @@
 
 func ids(s *state) []string {
 	out := []string{}
-	for _, list := range s.view(t0).Targets {
+	for _, list := range s.view().Targets {
 		for _, t := range list {
 			out = append(out, t.ID)
 		}
@@ -50,7 +50,7 @@
 	g.Expect(out.stale).To(Equal([]uint64{7}))
 	s.list(Listing{Updates: []Update{{Revision: 8, Configuration: version(8)}}, AsOf: 8}, t0)
 	s.adopt(Snapshot{Revision: 20, Configuration: version(3)}, t0)
-	g.Expect(s.view(t0).Version()).To(BeEquivalentTo(9))
+	g.Expect(s.view().Version()).To(BeEquivalentTo(9))
 }
 
 // Guards against changes that are applied twice or out of order after a watch was asked again from an older revision.
@@ -166,7 +166,7 @@
 	ahead.merge([]Update{gone(3, "a"), put(4, "c"), {Revision: 5, Configuration: &routing.Configuration{Version: 2}}}, 5, t0)
 	behind.adopt(ahead.snapshot(), t0)
 	g.Expect(ids(behind)).To(ConsistOf("b", "c"))
-	g.Expect(behind.view(t0).Version()).To(BeEquivalentTo(2))
+	g.Expect(behind.view().Version()).To(BeEquivalentTo(2))
 	ahead.adopt(filled("a").snapshot(), t0)
 	g.Expect(ids(ahead)).To(ConsistOf("b", "c"))
 }
--- a/internal/query/engine_test.go
+++ b/internal/query/engine_test.go
@@ -63,7 +63,7 @@
 		change(c)
 	}
 	b.g.Expect(c.Validate()).To(Succeed())
-	b.view = &published.View{Table: routing.NewTable(c), Targets: map[string][]published.Target{}, Learned: time.Now()}
+	b.view = &published.View{Table: routing.NewTable(c), Targets: map[string][]published.Target{}}
 	for _, s := range c.Services {
 		for i := range replicas {
 			b.addTarget(s.Name, i)
