--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -173,6 +173,12 @@
 	c.idle = time.Now()
 }
 
+func (c *callerConn) isClosed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closed
+}
+
 // closeIdle closes the connection if it has been idle since before the given time.
 func (c *callerConn) closeIdle(before time.Time) bool {
 	c.mu.Lock()
@@ -201,6 +207,18 @@
 	}
 }
 
+// open counts the connections that this side has not closed.
+func (s *Server) open() (n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.conns {
+		if !c.isClosed() {
+			n++
+		}
+	}
+	return n
+}
+
 func (s *Server) closeIdle(before time.Time) (closed int) {
 	s.mu.Lock()
 	conns := make([]*callerConn, 0, len(s.conns))
@@ -229,7 +247,7 @@
 	}
 	for s.sinceStop() < s.cfg.StopTime {
 		s.closeIdle(time.Now().Add(-stopIdle))
-		if s.active.Load() == 0 {
+		if s.active.Load() == 0 && s.open() == 0 {
 			break
 		}
 		time.Sleep(drainPoll)
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -179,3 +179,20 @@
 	h.g.Expect(h.server.closeIdle(time.Now().Add(-time.Minute))).To(BeZero())
 	h.g.Expect(h.server.closeIdle(time.Now())).To(Equal(1))
 }
+
+// Guards against connections that outlive the stop: a request on one of them is read by a process that is about to end
+// (soak seed 135). Callers connect until the listener is closed.
+func TestStopLeavesNoConnection(t *testing.T) {
+	h := start(t, quick)
+	h.stop()
+	for {
+		c, err := net.Dial("tcp", h.l.Addr().String())
+		if err != nil {
+			break // the listener is closed
+		}
+		t.Cleanup(func() { c.Close() })
+		time.Sleep(time.Millisecond)
+	}
+	<-h.stopped
+	h.g.Expect(h.server.open()).To(BeZero())
+}
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -84,7 +84,7 @@
 }
 
 func (s *servers) run(name string, serve func() error) {
-	if err := serve(); err != nil && err != http.ErrServerClosed {
+	if err := serve(); err != nil && err != http.ErrServerClosed && !s.front.Stopping() {
 		s.env.Log.WithError(err).WithField("server", name).Error("a server ended")
 	}
 }
--- a/internal/telemetry/bounded.go
+++ b/internal/telemetry/bounded.go
@@ -24,7 +24,8 @@
 // dropped and counted; a line tells how many. Warnings and errors do not count against the rate.
 type BoundedOutput struct {
 	lines   chan []byte
-	done    chan struct{}
+	quit    chan struct{} // closed by Close; lines itself stays open, because writers may outlive the output
+	done    chan struct{} // closed when the last line is written
 	out     io.Writer
 	dropped atomic.Uint64
 	total   *metrics.Counter
@@ -38,7 +39,7 @@
 // NewBoundedOutput starts to write to out. Close ends it.
 func NewBoundedOutput(out io.Writer, linesPerSecond float64, set *metrics.Set) *BoundedOutput {
 	b := &BoundedOutput{
-		lines: make(chan []byte, logQueue), done: make(chan struct{}), out: out, rate: linesPerSecond, tokens: linesPerSecond,
+		lines: make(chan []byte, logQueue), quit: make(chan struct{}), done: make(chan struct{}), out: out, rate: linesPerSecond, tokens: linesPerSecond,
 		filled: time.Now(), total: set.GetOrCreateCounter("medlarshunt_log_lines_dropped_total"),
 	}
 	go b.run()
@@ -64,6 +65,12 @@
 		return 0, nil // the formatter has dropped the line
 	}
 	select {
+	case <-b.quit:
+		b.drop()
+		return len(line), nil
+	default:
+	}
+	select {
 	case b.lines <- append([]byte(nil), line...):
 	default:
 		b.drop()
@@ -78,14 +85,32 @@
 
 func (b *BoundedOutput) run() {
 	defer close(b.done)
-	for line := range b.lines {
-		_, _ = b.out.Write(line) // there is no other place to report a broken output
+	for {
+		select {
+		case line := <-b.lines:
+			_, _ = b.out.Write(line) // there is no other place to report a broken output
+		case <-b.quit:
+			b.flush()
+			return
+		}
+	}
+}
+
+// flush writes the lines that wait.
+func (b *BoundedOutput) flush() {
+	for {
+		select {
+		case line := <-b.lines:
+			_, _ = b.out.Write(line) // as above
+		default:
+			return
+		}
 	}
 }
 
-// Close writes the lines that wait, for at most the given time.
+// Close writes the lines that wait, for at most the given time. Later lines are dropped. It is called once.
 func (b *BoundedOutput) Close(within time.Duration) {
-	close(b.lines)
+	close(b.quit)
 	select {
 	case <-b.done:
 	case <-time.After(within):
--- /dev/null
+++ b/internal/telemetry/bounded_test.go
@@ -0,0 +1,76 @@
+package telemetry
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	. "github.com/onsi/gomega"
+)
+
+// stuck is an output that accepts nothing.
+type stuck struct{ release chan struct{} }
+
+func (s stuck) Write(p []byte) (int, error) { <-s.release; return len(p), nil }
+
+// Guards against a process that waits for a slow reader of its logs, and against drops that nobody hears of.
+func TestSlowOutputNeverBlocks(t *testing.T) {
+	g := NewWithT(t)
+	out := stuck{make(chan struct{})}
+	set := metrics.NewSet()
+	b := NewBoundedOutput(out, 1e6, set)
+	for range 2 * logQueue {
+		_, err := b.Write([]byte("line\n"))
+		g.Expect(err).NotTo(HaveOccurred())
+	}
+	g.Expect(set.GetOrCreateCounter("medlarshunt_log_lines_dropped_total").Get()).To(BeNumerically(">=", logQueue-1))
+	close(out.release)
+	b.Close(time.Minute)
+}
+
+// Guards against a flood of lines: the rate holds, warnings are written all the same, and one line counts what is missing.
+func TestRateOfLinesIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		var text bytes.Buffer
+		b := NewBoundedOutput(&text, 10, metrics.NewSet())
+		log, err := NewBoundedLogger(b, "info")
+		g.Expect(err).NotTo(HaveOccurred())
+		for range 100 {
+			log.Info("plenty")
+		}
+		log.Warn("important")
+		time.Sleep(time.Second)
+		log.Info("later")
+		b.ReportDropped(log.WithField("node", "n"))
+		b.Close(time.Minute)
+		g.Expect(strings.Count(text.String(), "plenty")).To(Equal(10))
+		g.Expect(text.String()).To(ContainSubstring("important"))
+		g.Expect(text.String()).To(ContainSubstring("later"))
+		g.Expect(text.String()).To(ContainSubstring(`"lines":90`))
+	})
+}
+
+// Guards against a request that ends while the process does and panics on its log line (soak seed 135).
+func TestLinesAfterCloseAreDropped(t *testing.T) {
+	g := NewWithT(t)
+	var text bytes.Buffer
+	b := NewBoundedOutput(&text, 10, metrics.NewSet())
+	var wg sync.WaitGroup
+	for range 4 {
+		wg.Go(func() {
+			for range 1000 {
+				_, _ = b.Write([]byte("line\n"))
+			}
+		})
+	}
+	b.Close(time.Minute)
+	wg.Wait()
+	_, err := b.Write([]byte("late\n"))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(text.String()).NotTo(ContainSubstring("late"))
+}
--- a/test/platform/soak_test.go
+++ b/test/platform/soak_test.go
@@ -43,6 +43,7 @@
 
 // regressions are seeds that once failed, with the cause.
 var regressions = map[uint64]string{
+	135: "a stop ended while connections that had just been used were open, and a request on one of them was lost",
 	122: "a signal to reload that came while the process stopped ended it: the handler had been taken back",
 }
 
