--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -32,7 +32,7 @@
 	Split   []Share  `json:"split,omitempty"`
 	Gather  []string `json:"gather,omitempty"` // the shards, one service each
 
-	TopK     int     `json:"top_k,omitempty"`     // records of a gathered answer
+	TopK     int     `json:"records,omitempty"`     // records of a gathered answer
 	MinShare float64 `json:"min_share,omitempty"` // of the shards, for a gathered answer to be a success
 
 	Attempts int           `json:"attempts"` // largest number of targets that a request is sent to, for each shard
@@ -64,7 +64,7 @@
 type Service struct {
 	Name           string `json:"name"`
 	HealthPath     string `json:"health_path,omitempty"`
-	MaxConnections int    `json:"max_connections"` // that one target accepts from all nodes together
+	MaxConnections int    `json:"connections"` // that one target accepts from all nodes together
 }
 
 // Limits bound what a caller may send and how long it may stay idle.
--- a/internal/routing/validate.go
+++ b/internal/routing/validate.go
@@ -102,7 +102,7 @@
 	case r.Kind != Idempotent:
 		return &Fault{field + ".kind", "a route that gathers must be idempotent"}
 	case r.TopK < 1:
-		return &Fault{field + ".top_k", "must be 1 or more"}
+		return &Fault{field + ".records", "must be 1 or more"}
 	case !(r.MinShare >= 0 && r.MinShare <= 1):
 		return &Fault{field + ".min_share", "must be between 0 and 1"}
 	}
