--- a/internal/query/engine_test.go
+++ b/internal/query/engine_test.go
@@ -34,7 +34,7 @@
 
 // bench is an engine over stand-in targets.
 type bench struct {
-	t       *testing.T
+	t       testing.TB
 	g       *WithT
 	engine  *query.Engine
 	strikes *quarantine.Strikes
@@ -44,7 +44,7 @@
 	sent    int
 }
 
-func newBench(t *testing.T, change func(*routing.Configuration)) *bench {
+func newBench(t testing.TB, change func(*routing.Configuration)) *bench {
 	b := &bench{t: t, g: NewWithT(t), strikes: quarantine.NewStrikes(), log: &bytes.Buffer{}, targets: map[string]*shardsim.Target{}}
 	set := metrics.NewSet()
 	charts, err := statechart.NewCharts(set)
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -32,7 +32,7 @@
 	Split   []Share  `json:"split,omitempty"`
 	Gather  []string `json:"gather,omitempty"` // the shards, one service each
 
-	TopK     int     `json:"records,omitempty"`     // records of a gathered answer
+	TopK     int     `json:"records,omitempty"`   // records of a gathered answer
 	MinShare float64 `json:"min_share,omitempty"` // of the shards, for a gathered answer to be a success
 
 	Attempts int           `json:"attempts"` // largest number of targets that a request is sent to, for each shard
