Never pass on an unproved refusal of a request that must not run twice; bound the guess of a caller's wait

Cause, found by reading: a target's own 503 or 429 without proof was passed on to callers of non-idempotent routes, for whom it means not run; and one caller with a long time limit made all others seem late.

--- a/internal/httpcall/conn.go
+++ b/internal/httpcall/conn.go
@@ -27,7 +27,6 @@
 	reader  *bufio.Reader
 	maxIdle time.Duration // learned from the target; 0 for none
 	idle    time.Time     // since when the connection is idle; owned by the pool
-	served  int           // calls served; owned by the pool
 	onEnd   func(*conn)   // called when the connection ends while idle
 
 	mu     sync.Mutex
--- a/internal/httpcall/httpcall.go
+++ b/internal/httpcall/httpcall.go
@@ -48,7 +48,6 @@
 	Kind    ErrorKind
 	Written bool
 	Refused bool // the address refused the connection: no process listens
-	Reused  bool // the connection had served calls before
 	Err     error
 }
 
--- a/internal/httpcall/pool.go
+++ b/internal/httpcall/pool.go
@@ -63,9 +63,6 @@
 // SetConnections changes the limit. Calls in flight above it keep their connections.
 func (p *Pool) SetConnections(n int) { p.gate.SetSlots(n) }
 
-// Counts returns the calls that hold a connection and those that wait for one.
-func (p *Pool) Counts() (inFlight, waiting int) { return p.gate.Counts() }
-
 // Do sends the call and waits for its response. beforeWrite is called at the last moment before the first byte is
 // written; when it returns an error, nothing is written. Errors are *Error.
 func (p *Pool) Do(ctx context.Context, call *Call, beforeWrite func() error) (*Response, error) {
@@ -184,17 +181,16 @@
 
 // exchange writes the call and waits for the response.
 func (p *Pool) exchange(ctx context.Context, c *conn, pending *pending) (*Response, error) {
-	reused := c.served > 0
 	if err := write(ctx, c, pending.call); err != nil {
 		c.close(err)
-		return nil, &Error{Kind: ended(ctx), Written: true, Reused: reused, Err: err}
+		return nil, &Error{Kind: ended(ctx), Written: true, Err: err}
 	}
 	select {
 	case res := <-pending.done:
-		return p.finish(c, res, reused)
+		return p.finish(c, res)
 	case <-ctx.Done():
 		c.close(errGiveUp)
-		return nil, &Error{Kind: KindCancelled, Written: true, Reused: reused, Err: context.Cause(ctx)}
+		return nil, &Error{Kind: KindCancelled, Written: true, Err: context.Cause(ctx)}
 	}
 }
 
@@ -222,13 +218,12 @@
 	return err
 }
 
-func (p *Pool) finish(c *conn, res result, reused bool) (*Response, error) {
+func (p *Pool) finish(c *conn, res result) (*Response, error) {
 	if res.err != nil {
 		c.close(res.err)
-		return nil, &Error{Kind: kindOf(res), Written: true, Reused: reused, Err: res.err}
+		return nil, &Error{Kind: kindOf(res), Written: true, Err: res.err}
 	}
 	if res.keep {
-		c.served++
 		p.put(c)
 	}
 	return res.resp, nil
--- a/internal/query/engine.go
+++ b/internal/query/engine.go
@@ -116,10 +116,14 @@
 }
 
 // waited estimates how long the caller had waited before this attempt: callers state the time that is left, and the first
-// attempts of a route state the longest.
-func (s *routeState) waited(left time.Duration) time.Duration {
+// attempts of a route state the longest. More than the route's own limit tells nothing, and neither does a caller that
+// states no time.
+func (s *routeState) waited(left, limit time.Duration) time.Duration {
+	if left <= 0 {
+		return 0
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.longest = max(s.longest, left)
-	return s.longest - left
+	return max(0, min(s.longest, limit)-left)
 }
--- a/internal/query/engine_test.go
+++ b/internal/query/engine_test.go
@@ -248,13 +248,14 @@
 		status query.Status
 		runs   int
 	}{
-		"lost answer":  {shardsim.Faults{LoseAnswer: true}, query.Failed, 1},
-		"cut answer":   {shardsim.Faults{Truncate: true}, query.Failed, 1},
-		"no answer":    {shardsim.Faults{Paused: true}, query.TimedOut, 0},
-		"all refuse":   {shardsim.Faults{Shed: true}, query.Refused, 0},
-		"own error":    {shardsim.Faults{Error: true}, query.Served, 1},
-		"second reply": {shardsim.Faults{Extra: true}, query.Served, 1},
-		"no length":    {shardsim.Faults{Unframed: true}, query.Served, 1},
+		"lost answer":    {shardsim.Faults{LoseAnswer: true}, query.Failed, 1},
+		"cut answer":     {shardsim.Faults{Truncate: true}, query.Failed, 1},
+		"no answer":      {shardsim.Faults{Paused: true}, query.TimedOut, 0},
+		"all refuse":     {shardsim.Faults{Shed: true}, query.Refused, 0},
+		"own error":      {shardsim.Faults{Error: true}, query.Served, 1},
+		"busy, unproved": {shardsim.Faults{Busy: true}, query.Failed, 1},
+		"second reply":   {shardsim.Faults{Extra: true}, query.Served, 1},
+		"no length":      {shardsim.Faults{Unframed: true}, query.Served, 1},
 	} {
 		t.Run(name, func(t *testing.T) {
 			b := newBench(t, nil)
--- a/internal/query/serve.go
+++ b/internal/query/serve.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"net/http"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -118,12 +120,12 @@
 
 // times works out when the request must be answered.
 func (s *serving) times() work {
+	state := s.engine.route(s.route.Name)
+	waited := state.waited(s.req.Left, s.route.Timeout)
 	left := s.req.Left
 	if left <= 0 {
 		left = defaultLeft
 	}
-	state := s.engine.route(s.route.Name)
-	waited := state.waited(left)
 	start := s.req.Arrived
 	return work{
 		engine: s.engine, req: s.req, route: s.route, state: state, start: start,
@@ -144,7 +146,7 @@
 	s.notes.add(res)
 	s.noteSuccess(w.fp, res.served())
 	switch {
-	case res.reply != nil && !res.notRun:
+	case res.reply != nil && !res.notRun && !s.promisesTooMuch(res.reply):
 		return Answer{Status: Served, Reply: res.reply}
 	case res.notRun:
 		return Answer{Status: Refused, Reason: "no target ran the request: " + string(res.failure), RetryAfter: busyRetry}
@@ -155,6 +157,15 @@
 	}
 }
 
+// refusals are the statuses that promise callers that a request has not run.
+var refusals = []int{http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable}
+
+// promisesTooMuch reports whether a target's answer would tell the caller that its request has not run although the target
+// did not prove it. Passed on, it would make callers send a request again that must not run twice.
+func (s *serving) promisesTooMuch(reply *Reply) bool {
+	return s.route.Kind == routing.NonIdempotent && slices.Contains(refusals, reply.Status)
+}
+
 // noteSuccess clears what is held against a request that targets answer.
 func (s *serving) noteSuccess(fp [16]byte, served bool) {
 	if !served {
--- a/internal/standin/shardsim/shardsim.go
+++ b/internal/standin/shardsim/shardsim.go
@@ -33,6 +33,7 @@
 	Paused      bool   // answers nothing until it is switched off
 	Shed        bool   // refuses every request
 	Error       bool   // answers 500, signed
+	Busy        bool   // runs the request and answers 503, signed, without the proof that it did not run
 	Extra       bool   // sends a second answer after each one
 	Unframed    bool   // answers without a length
 	Truncate    bool   // ends an answer early
@@ -280,6 +281,9 @@
 	if f.Error {
 		status = http.StatusInternalServerError
 	}
+	if f.Busy {
+		status = http.StatusServiceUnavailable
+	}
 	switch {
 	case f.LoseAnswer:
 		panic(http.ErrAbortHandler)
