--- a/internal/httpcall/httpcall.go
+++ b/internal/httpcall/httpcall.go
@@ -18,6 +18,8 @@
 	// MaxIdle is the longest time that the connection may have been idle; 0 takes the pool's limit, a negative value
 	// always opens a new connection.
 	MaxIdle time.Duration
+	// Priority orders the calls that wait for a connection; a smaller number goes first.
+	Priority int
 	// Bodiless is set for requests whose responses have no body (HEAD).
 	Bodiless bool
 }
--- a/internal/httpcall/pool.go
+++ b/internal/httpcall/pool.go
@@ -66,7 +66,7 @@
 // Do sends the call and waits for its response. beforeWrite is called at the last moment before the first byte is
 // written; when it returns an error, nothing is written. Errors are *Error.
 func (p *Pool) Do(ctx context.Context, call *Call, beforeWrite func() error) (*Response, error) {
-	release, err := p.acquire(ctx)
+	release, err := p.acquire(ctx, call.Priority)
 	if err != nil {
 		return nil, notWritten(ctx, KindBusy, err)
 	}
@@ -92,12 +92,12 @@
 const noDeadline = time.Minute
 
 // acquire waits for the right to hold one connection.
-func (p *Pool) acquire(ctx context.Context) (release func(), err error) {
+func (p *Pool) acquire(ctx context.Context, priority int) (release func(), err error) {
 	deadline, ok := ctx.Deadline()
 	if !ok {
 		deadline = time.Now().Add(noDeadline)
 	}
-	return p.gate.Acquire(ctx, targetqueue.Request{Deadline: deadline})
+	return p.gate.Acquire(ctx, targetqueue.Request{Deadline: deadline, Priority: priority})
 }
 
 func notWritten(ctx context.Context, kind ErrorKind, err error) *Error {
@@ -140,7 +140,7 @@
 // Refuses opens a connection and reports whether the address refuses it: no process listens there. A connection that could
 // be opened is kept.
 func (p *Pool) Refuses(ctx context.Context) bool {
-	release, err := p.acquire(ctx)
+	release, err := p.acquire(ctx, 0)
 	if err != nil {
 		return false // calls hold all connections, so some process answers or none can tell
 	}
--- a/internal/query/attempt.go
+++ b/internal/query/attempt.go
@@ -81,7 +81,7 @@
 func (w *work) call(ctx context.Context, client *targetClient, res *attemptResult, life *attemptLife, fresh bool) {
 	e := w.engine
 	call := &httpcall.Call{
-		Body: w.req.Body, Bodiless: w.req.Method == http.MethodHead,
+		Body: w.req.Body, Bodiless: w.req.Method == http.MethodHead, Priority: w.route.Priority,
 		Owns: func(h http.Header) bool { return e.deps.Codec.Owns(w.req, h) },
 	}
 	switch {
--- a/internal/targetqueue/queue.go
+++ b/internal/targetqueue/queue.go
@@ -1,5 +1,5 @@
 // Package targetqueue limits the calls in flight on one target to its slots. Waiting calls are ordered: local searches
-// before attempts for other failure domains, then by deadline. A call may reserve the whole target. Queue has no clocks
+// before attempts for other failure domains, then by priority and deadline. A call may reserve the whole target. Queue has no clocks
 // or goroutines; Gate wraps it for blocking use.
 package targetqueue
 
@@ -17,6 +17,7 @@
 	Deadline time.Time     // the call must have its response by then
 	Expected time.Duration // expected time of the call; with less time left it is dropped
 	Foreign  bool          // an attempt for another failure domain
+	Priority int           // of the request; a smaller number is more urgent and goes first
 	Isolated bool          // runs with no other call in flight on the target
 }
 
@@ -182,7 +183,7 @@
 	return len(q.inFlight), len(q.waiting)
 }
 
-// waitList is a heap: local calls first, then by deadline, then by arrival.
+// waitList is a heap: local calls first, then by priority, deadline and arrival.
 type waitList []*call
 
 // Len implements heap.Interface.
@@ -194,6 +195,9 @@
 	if a.req.Foreign != b.req.Foreign {
 		return b.req.Foreign
 	}
+	if a.req.Priority != b.req.Priority {
+		return a.req.Priority < b.req.Priority
+	}
 	if !a.req.Deadline.Equal(b.req.Deadline) {
 		return a.req.Deadline.Before(b.req.Deadline)
 	}
--- a/internal/targetqueue/queue_test.go
+++ b/internal/targetqueue/queue_test.go
@@ -197,3 +197,15 @@
 		g.Expect(time.Until(request.Deadline)).To(Equal(time.Hour + time.Minute - time.Second))
 	})
 }
+
+// Guards against a less urgent request that is served before a more urgent one.
+func TestMoreUrgentCallsGoFirst(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	q := New(1)
+	_, running, _ := q.Offer(Request{Deadline: now.Add(time.Second)}, now)
+	_, later, _ := q.Offer(Request{Deadline: now.Add(time.Second), Priority: 2}, now)
+	_, urgent, _ := q.Offer(Request{Deadline: now.Add(2 * time.Second), Priority: 1}, now)
+	g.Expect(q.Release(running, now).Start).To(Equal([]Handle{urgent}))
+	g.Expect(q.Release(urgent, now).Start).To(Equal([]Handle{later}))
+}
