--- a/internal/targetqueue/queue_test.go
+++ b/internal/targetqueue/queue_test.go
@@ -202,10 +202,10 @@
 func TestMoreUrgentCallsGoFirst(t *testing.T) {
 	g := NewWithT(t)
 	now := time.Unix(1000, 0)
-	q := New(1)
-	_, running, _ := q.Offer(Request{Deadline: now.Add(time.Second)}, now)
-	_, later, _ := q.Offer(Request{Deadline: now.Add(time.Second), Priority: 2}, now)
-	_, urgent, _ := q.Offer(Request{Deadline: now.Add(2 * time.Second), Priority: 1}, now)
-	g.Expect(q.Release(running, now).Start).To(Equal([]Handle{urgent}))
-	g.Expect(q.Release(urgent, now).Start).To(Equal([]Handle{later}))
+	q := targetqueue.New(1)
+	_, running, _ := q.Offer(targetqueue.Request{Deadline: now.Add(time.Second)}, now)
+	_, later, _ := q.Offer(targetqueue.Request{Deadline: now.Add(time.Second), Priority: 2}, now)
+	_, urgent, _ := q.Offer(targetqueue.Request{Deadline: now.Add(2 * time.Second), Priority: 1}, now)
+	g.Expect(q.Release(running, now).Start).To(Equal([]targetqueue.Handle{urgent}))
+	g.Expect(q.Release(urgent, now).Start).To(Equal([]targetqueue.Handle{later}))
 }
