Make the cases of bytes after an answer deterministic, and state the late ones apart

Cause (seen once red in TestAnswersThatAreNotWhole, reproduced with 6 copies at once): the stand-in sent the answer and the stray bytes in two pieces; when the second came after the next request was written, that request failed as malformed.

--- a/internal/httpcall/httpcall_test.go
+++ b/internal/httpcall/httpcall_test.go
@@ -57,10 +57,15 @@
 	return req.Header.Get("Id"), true
 }
 
-func answer(c net.Conn, id, body string) {
-	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+func answer(c net.Conn, id, body string) { answerWith(c, id, body, "") }
+
+// answerWith sends an answer and further bytes in one piece, so that they arrive together.
+func answerWith(c net.Conn, id, body, more string) {
+	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s%s", id, len(body), body, more)
 }
 
+const stray = "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 5\r\n\r\nstray"
+
 // echo answers each request with its id.
 func echo(s *script, _ int, c net.Conn, r *bufio.Reader) {
 	for {
@@ -122,9 +127,9 @@
 		}, KindMalformed},
 		"reset without a length": {reset, KindLost},
 		"ends without a length":  {func(c net.Conn, id string) { fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\n\r\nbody of %s", id, id) }, ""},
-		"second answer":          {func(c net.Conn, id string) { answer(c, id, "body of "+id); answer(c, "other", "stray") }, ""},
+		"second answer":          {func(c net.Conn, id string) { answerWith(c, id, "body of "+id, stray) }, ""},
 		"stray answer before":    {func(c net.Conn, id string) { answer(c, "other", "stray"); answer(c, id, "body of "+id) }, ""},
-		"bytes after the answer": {func(c net.Conn, id string) { answer(c, id, "body of "+id); fmt.Fprint(c, "more") }, ""},
+		"bytes after the answer": {func(c net.Conn, id string) { answerWith(c, id, "body of "+id, "more") }, ""},
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
@@ -190,6 +195,33 @@
 	g.Expect(s.accepted.Load()).To(BeEquivalentTo(2), "a connection with stray answers is not used again")
 }
 
+// Guards against bytes that arrive late, at the place of the next answer, and are taken for a part of it. They cost the
+// next request its answer, since nothing tells what they are, but never give it a wrong one.
+func TestLateBytesAreNoAnswer(t *testing.T) {
+	g := NewWithT(t)
+	s := serve(t, func(s *script, n int, c net.Conn, r *bufio.Reader) {
+		if n > 1 {
+			echo(s, n, c, r)
+			return
+		}
+		id, _ := s.read(r)
+		answer(c, id, "body of "+id)
+		id, _ = s.read(r)
+		fmt.Fprint(c, "more")
+		answer(c, id, "body of "+id)
+	})
+	p := NewPool(Config{Address: s.address, Connections: 1})
+	defer p.Close()
+	_, err := do(p, "1")
+	g.Expect(err).NotTo(HaveOccurred())
+	_, err = do(p, "2")
+	g.Expect(failed(g, err).Kind).To(Equal(KindMalformed))
+	g.Expect(failed(g, err).Written).To(BeTrue())
+	resp, err := do(p, "3")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(string(resp.Body)).To(Equal("body of 3"))
+}
+
 // Guards against more connections to a target than this node's share of its limit.
 func TestConnectionsStayBelowTheLimit(t *testing.T) {
 	g := NewWithT(t)
