--- a/internal/entry/search.go
+++ b/internal/entry/search.go
@@ -116,6 +116,7 @@
 // may run again; a command never goes this way.
 func (e *Entry) runLeg(ctx context.Context, req peer.LegRequest, deadline time.Time) (peer.LegResult, *api.Error) {
 	refusal := api.Refuse(api.CodeUnreachable, "", "no relay can be reached")
+	handed := false // a relay that was lost may have run parts
 	for _, relay := range e.deps.Directory.Relays(req.Search.Group) {
 		left := time.Until(deadline)
 		if left < api.MinAttemptBudget {
@@ -127,6 +128,10 @@
 			refusal = result.Refusal
 			continue
 		}
+		if err == nil && result.Refusal != nil && handed {
+			// The refusal is true for this relay only, so the answer is empty but true.
+			return missingLeg(req, api.MissingUnreachable), nil
+		}
 		if err == nil {
 			return result, result.Refusal
 		}
@@ -134,7 +139,9 @@
 		e.deps.Log.WithField("request_id", req.Search.RequestID).WithField("relay", relay.NodeID).WithError(err).
 			Warn("relay is lost; the leg goes to the next one")
 		var failed *peer.Error
-		if errors.As(err, &failed) && failed.Kind == peer.FailureTimeout {
+		known := errors.As(err, &failed)
+		handed = handed || !known || failed.Kind != peer.FailureNotSent
+		if known && failed.Kind == peer.FailureTimeout {
 			break
 		}
 	}
@@ -142,7 +149,7 @@
 		// Relays may have run parts of it; a search has no effect, so the answer is empty but true.
 		return missingLeg(req, api.MissingTimeout), nil
 	}
-	if refusal.Code != api.CodeUnreachable {
+	if refusal.Code != api.CodeUnreachable && !handed {
 		return peer.LegResult{}, refusal
 	}
 	return missingLeg(req, api.MissingUnreachable), nil
