Compare whether nodes are down when views compare their states

Cause: the content by which two views compare their states held a node's verdict but not its heartbeat counter. A failure domain that had heard a later heartbeat than the verdict names held the same verdict without believing it, both views had equal sums, and neither told the other. The dead node stayed alive there for good. TestDeadNodeIsForgottenEverywhere met it when the cut came between two sends of the last heartbeat, which goes out at the same virtual instant. Ruled out: the lifetime of verdicts (8 minutes of 9) and the joiner. Before: the new test is red (alive instead of dead); after: green, and the package's tests are green.

--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -227,10 +227,12 @@
 	return Alive
 }
 
-// changed gives a node's record a new place in the order of changes.
+// changed gives a node's record a new place in the order of changes. Whether the node is down is part of the content
+// that views compare: a view that heard a later heartbeat than the one a verdict names holds the same verdict and does
+// not believe it.
 func (v *View) changed(n *nodeState) {
 	r := n.record
-	v.log.append(item{node: r.ID}, fmt.Sprint("node ", r.ID, r.Incarnation, r.Generation, r.Rev, r.Down))
+	v.log.append(item{node: r.ID}, fmt.Sprint("node ", r.ID, r.Incarnation, r.Generation, r.Rev, r.Down, r.IsDown()))
 }
 
 // prune removes expired marks and entries and nodes that have been dead for long.
--- a/internal/membership/view_test.go
+++ b/internal/membership/view_test.go
@@ -58,6 +58,35 @@
 	g.Expect(status()).To(Equal(Alive))
 }
 
+// Guards against a dead node that another failure domain counts as alive for good: that one heard a later heartbeat than
+// the verdict names, and views with equal verdicts did not compare how far they had heard the node.
+func TestVerdictOnEarlierHeartbeatIsRenewed(t *testing.T) {
+	g := NewWithT(t)
+	far := node("far", "1")
+	far.Domain = "b"
+	a, b, dying := NewView(far, at(0)), NewView(node("near", "1"), at(0)), NewView(node("dying", "1"), at(0))
+	views := []*View{a, b}
+	for range 3 {
+		exchange(dying, a, wide)
+		exchange(dying, b, wide)
+		exchange(a, b, wide)
+	}
+	dying.Tick()
+	exchange(dying, a, wide)   // the last heartbeat reaches the other failure domain only
+	_ = a.Digest("near", wide) // and the message that passes it on is lost
+	for now := time.Duration(0); now < 4*DeadAfter; now += DefaultHeartbeat {
+		for _, v := range views {
+			v.Observe(at(now))
+			v.Tick()
+		}
+		exchange(a, b, wide)
+	}
+	for _, v := range views {
+		m, _ := v.Member("dying")
+		g.Expect(m.Status).To(Equal(Dead), "as %s sees it", v.self)
+	}
+}
+
 // Guards against an old incarnation that returns after a restart, also when the wall clock went back in between.
 func TestRestartReplacesIncarnation(t *testing.T) {
 	g := NewWithT(t)
