Restart the watch of the store without a lock

Cause: putting a view in force asks the membership for the number of nodes while the follower's and the engine's locks are held. When the membership noticed a pause or a step of the clock there, its hook restarted the watch, which took the follower's lock again: the node hung for good, with every request on it. Ruled out: the log's rate limit (requests had no answer either), the stop of the process (it had restarted at 22.5 s). Test: TestRestartWhileViewIsPublished, red before (20 s without a view).

--- a/internal/membership/loop.go
+++ b/internal/membership/loop.go
@@ -17,7 +17,8 @@
 	Exchange(ctx context.Context, address string, m Message) (Message, error)
 }
 
-// Hooks are called by the loop, never while it holds its lock. Each may be nil and must return without delay.
+// Hooks are called by the loop, never while it holds its lock. Each may be nil and must return without delay. Any method of
+// the Loop may call them, so they must not take a lock that a caller of the Loop may hold.
 type Hooks struct {
 	// Paused is called after the process was stopped for the given time, by whichever goroutine notices it first.
 	Paused func(gap time.Duration)
--- a/internal/published/follower.go
+++ b/internal/published/follower.go
@@ -109,12 +109,13 @@
 	view atomic.Pointer[View]
 	wake chan struct{}
 
+	abandon atomic.Pointer[context.CancelFunc] // ends the watch under way
+
 	started time.Time // owned by the loop that follows
 
-	mu      sync.Mutex // guards the fields below and the order of Changed calls
-	state   *state
-	lost    bool // the last read of the store failed
-	abandon context.CancelFunc
+	mu    sync.Mutex // guards the fields below and the order of Changed calls
+	state *state
+	lost  bool // the last read of the store failed
 
 	confirmed time.Time            // when the store last confirmed the state, directly or through another node
 	bad       map[string]time.Time // nodes that could not be followed, until when they are passed over
@@ -225,12 +226,10 @@
 }
 
 // Restart gives up the watch under way and asks again. It is called after a pause of the process, in which the connection
-// may have died.
+// may have died. It takes no lock: the pause may be noticed while a view is put in force, under mu.
 func (f *Follower) Restart() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.abandon != nil {
-		f.abandon()
+	if cancel := f.abandon.Load(); cancel != nil {
+		(*cancel)()
 	}
 }
 
--- a/internal/published/follower_test.go
+++ b/internal/published/follower_test.go
@@ -86,6 +86,26 @@
 	return n
 }
 
+// Guards against a node that hangs for good: putting a view in force asks the membership, which may notice a pause of the
+// process then and restart the watch while the follower publishes the view.
+func TestRestartWhileViewIsPublished(t *testing.T) {
+	g := NewWithT(t)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	var f *Follower
+	published := make(chan struct{}, 1)
+	f = NewFollower(DefaultConfig(), Deps{
+		Source: &fakeSource{listing: Listing{Updates: []Update{put(1, "a")}, AsOf: 1}, asOf: 1},
+		Log:    logrus.NewEntry(log), Metrics: metrics.NewSet(),
+		Changed: func(*View) { f.Restart(); published <- struct{}{} },
+	})
+	go f.Run(t.Context())
+	g.Eventually(published, hangs).Should(Receive())
+}
+
+// hangs is the time after which a lock that is not released counts as lost.
+const hangs = 20 * time.Second
+
 // Guards against changes that are lost when the store drops its history.
 func TestDroppedHistoryIsReadAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/published/reader.go
+++ b/internal/published/reader.go
@@ -143,8 +143,4 @@
 	}
 }
 
-func (f *Follower) setAbandon(cancel context.CancelFunc) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.abandon = cancel
-}
+func (f *Follower) setAbandon(cancel context.CancelFunc) { f.abandon.Store(&cancel) }
