Run the failure tests in virtual time; run suspects truly alone

The stand-in network now also connects in memory, and whole deployments run inside a synctest bubble, with the same checks and bounds.

Also found: dials of the platform client across a cut never ended; the load tool left a replacement running when a case was over.

--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -28,8 +28,8 @@
 type Options struct {
 	Fleet          fleet.Options
 	NodesPerDomain int
-	// Network delays and cuts the connections between nodes of different failure domains, and those to the platform,
-	// which is the place PlacePlatform; nil connects them directly.
+	// Network carries all connections. It delays and cuts those between nodes of different failure domains, and those to
+	// the platform, which is the place PlacePlatform; nil connects all directly.
 	Network  *netsim.Network
 	LogTo    io.Writer // nil discards the logs of the nodes
 	Seed     uint64
@@ -55,9 +55,10 @@
 
 // Deployment is a fleet of stand-ins with nodes.
 type Deployment struct {
-	opts  Options
-	Fleet *fleet.Fleet
-	log   *logrus.Logger
+	opts   Options
+	direct bool // no network was given: connections between places are as any other
+	Fleet  *fleet.Fleet
+	log    *logrus.Logger
 
 	killed sync.WaitGroup // ends of nodes that were killed
 
@@ -85,14 +86,17 @@
 	if err != nil {
 		return nil, err
 	}
+	direct := opts.Network == nil
+	if direct {
+		opts.Network = netsim.New(0, 0, opts.Seed)
+	}
+	opts.Fleet.Listen = opts.Network.Listen
 	f, err := fleet.Start(opts.Fleet)
 	if err != nil {
 		return nil, err
 	}
-	d := &Deployment{opts: opts, Fleet: f, log: log}
-	if opts.Network != nil {
-		opts.Network.Place(f.Platform.Address(), PlacePlatform)
-	}
+	d := &Deployment{opts: opts, direct: direct, Fleet: f, log: log}
+	opts.Network.Place(f.Platform.Address(), PlacePlatform)
 	for i := range max(opts.NodesPerDomain, 1) {
 		for _, domain := range f.Document().Domains {
 			if _, err := d.AddNode(ctx, domain, i); err != nil {
@@ -106,7 +110,7 @@
 
 // AddNode starts another node in a failure domain.
 func (d *Deployment) AddNode(ctx context.Context, domain config.FailureDomain, ordinal int) (*Member, error) {
-	m := &Member{ID: fmt.Sprintf("%s-%d", domain.Name, ordinal), Domain: domain.Name, Ordinal: ordinal, Metrics: metrics.NewSet(), sockets: newSockets()}
+	m := &Member{ID: fmt.Sprintf("%s-%d", domain.Name, ordinal), Domain: domain.Name, Ordinal: ordinal, Metrics: metrics.NewSet(), sockets: newSockets(d.opts.Network)}
 	var listeners [3]net.Listener
 	for i := range listeners {
 		l, err := m.sockets.listen()
@@ -141,12 +145,12 @@
 
 // env connects a node to its surroundings.
 func (d *Deployment) env(m *Member, peerAddress string) (node.Env, error) {
-	var network dialFunc
-	if d.opts.Network != nil {
-		d.opts.Network.Place(peerAddress, m.Domain)
-		network = d.opts.Network.Dialer(m.Domain)
+	d.opts.Network.Place(peerAddress, m.Domain)
+	between := d.opts.Network.Dialer(m.Domain)
+	if d.direct {
+		between = d.opts.Network.Dial
 	}
-	dial := m.sockets.dialer(network)
+	dial := m.sockets.dialer(between)
 	source, err := platform.NewClient(platform.Config{Address: d.Fleet.Platform.Address(), Metrics: m.Metrics, Dial: dial})
 	if err != nil {
 		return node.Env{}, eris.Wrap(err, "platform client")
@@ -154,7 +158,7 @@
 	return node.Env{
 		Platform: source, Log: d.log, Metrics: m.Metrics, DialPeer: peer.DialFunc(dial),
 		DialTarget: func(c target.Config) (target.Caller, error) {
-			c.Dial = m.sockets.dialer(c.Dial)
+			c.Dial = m.sockets.dialer(d.opts.Network.Dial)
 			return target.NewClient(c)
 		},
 	}, nil
@@ -242,13 +246,14 @@
 	return nil
 }
 
-// ReplaceAll replaces all nodes, one after another, until ctx ends.
+// ReplaceAll replaces all nodes, one after another, until ctx ends. It finishes the replacement that is under way then: a
+// node that was started half would go on.
 func (d *Deployment) ReplaceAll(ctx context.Context) {
 	for _, m := range d.Members() {
 		if ctx.Err() != nil {
 			return
 		}
-		if err := d.Replace(ctx, m); err != nil {
+		if err := d.Replace(context.WithoutCancel(ctx), m); err != nil {
 			d.log.WithError(err).WithField("node", m.ID).Error("cannot replace a node")
 			return
 		}
--- a/internal/demo/sockets.go
+++ b/internal/demo/sockets.go
@@ -6,6 +6,8 @@
 	"sync"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/medlarshunt/medlarshunt/internal/standin/netsim"
 )
 
 // errKilled is the error of a dial by a node that was killed.
@@ -15,21 +17,25 @@
 type dialFunc func(ctx context.Context, address string) (net.Conn, error)
 
 // sockets owns the listeners and connections of one node, so that a kill ends them all at once as the end of a process
-// does. mu guards the fields.
+// does. mu guards the fields below it.
 type sockets struct {
+	network *netsim.Network
+
 	mu        sync.Mutex
 	killed    bool
 	listeners []net.Listener
 	conns     map[net.Conn]struct{}
 }
 
-func newSockets() *sockets { return &sockets{conns: map[net.Conn]struct{}{}} }
+func newSockets(n *netsim.Network) *sockets {
+	return &sockets{network: n, conns: map[net.Conn]struct{}{}}
+}
 
 // listen opens a listener on a free port of the loopback interface.
 func (s *sockets) listen() (net.Listener, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := s.network.Listen("127.0.0.1:0")
 	if err != nil {
-		return nil, eris.Wrap(err, "listen")
+		return nil, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -37,12 +43,8 @@
 	return &ownedListener{Listener: l, sockets: s}, nil
 }
 
-// dialer wraps a dial function; nil dials TCP directly.
+// dialer wraps a dial function.
 func (s *sockets) dialer(dial dialFunc) dialFunc {
-	if dial == nil {
-		var d net.Dialer
-		dial = func(ctx context.Context, address string) (net.Conn, error) { return d.DialContext(ctx, "tcp", address) }
-	}
 	return func(ctx context.Context, address string) (net.Conn, error) {
 		raw, err := dial(ctx, address)
 		if err != nil {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"maps"
+	"net"
 	"slices"
 	"sync"
 	"time"
@@ -34,6 +35,8 @@
 	DrainGrace time.Duration
 	// KeepAddresses uses the addresses of the document instead of free ports.
 	KeepAddresses bool
+	// Listen opens the listeners of the stand-ins; nil listens on TCP.
+	Listen func(address string) (net.Listener, error)
 }
 
 // DefaultConnectCost is what a new connection costs the older targets of today's users.
@@ -51,7 +54,7 @@
 
 // Start starts the stand-ins and publishes the document and the catalogue.
 func Start(opts Options) (*Fleet, error) {
-	f := &Fleet{Platform: platformsim.New(platformsim.Config{}), Targets: map[string]*targetsim.Server{}}
+	f := &Fleet{Platform: platformsim.New(platformsim.Config{Listen: opts.Listen}), Targets: map[string]*targetsim.Server{}}
 	if err := f.Platform.Start(); err != nil {
 		return nil, eris.Wrap(err, "start stand-in platform")
 	}
@@ -97,7 +100,7 @@
 	cfg := targetsim.Config{
 		ID: t.ID, Service: service, Slots: g.SlotsPerTarget, ConnectionLimit: g.ConnectionLimit,
 		ConnectCost: DefaultConnectCost, ServiceTime: opts.Service, Maps: RangesOf(c, service),
-		Documents: opts.Documents, DrainGrace: opts.DrainGrace,
+		Documents: opts.Documents, DrainGrace: opts.DrainGrace, Listen: opts.Listen,
 	}
 	if cost, ok := opts.ConnectCost[g.Name]; ok {
 		cfg.ConnectCost = cost
--- a/internal/load/bare.go
+++ b/internal/load/bare.go
@@ -10,6 +10,7 @@
 
 	"github.com/medlarshunt/medlarshunt/internal/api"
 	"github.com/medlarshunt/medlarshunt/internal/config"
+	"github.com/medlarshunt/medlarshunt/internal/standin/netsim"
 	"github.com/medlarshunt/medlarshunt/internal/target"
 )
 
@@ -20,9 +21,11 @@
 type Bare struct{ P50, P99 time.Duration }
 
 // measureBare calls the first target of the first group directly.
-func measureBare(ctx context.Context, d config.Document, c config.Catalogue) (Bare, error) {
+func measureBare(ctx context.Context, d config.Document, c config.Catalogue, network *netsim.Network) (Bare, error) {
 	g := d.Groups[0]
-	client, err := target.NewClient(target.Config{ID: "bare", Group: g.Name, Address: g.Services[0].Targets[0].Address, MaxConnections: 1})
+	client, err := target.NewClient(target.Config{
+		ID: "bare", Group: g.Name, Address: g.Services[0].Targets[0].Address, MaxConnections: 1, Dial: network.Dial,
+	})
 	if err != nil {
 		return Bare{}, eris.Wrap(err, "client of the stand-in")
 	}
--- a/internal/load/cases.go
+++ b/internal/load/cases.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -48,6 +49,8 @@
 	Commands    float64 // share of commands in groups that take them
 	Baseline    bool
 	Seed        uint64
+	// Network carries all connections; nil makes one over TCP with Delay.
+	Network *netsim.Network
 }
 
 const (
@@ -91,7 +94,10 @@
 
 // RunCase starts a deployment, warms it up, induces the failure and measures.
 func RunCase(ctx context.Context, s Setup, c Case) (*Report, error) {
-	network := netsim.New(s.Delay, s.Delay/4, s.Seed)
+	network := s.Network
+	if network == nil {
+		network = netsim.New(s.Delay, s.Delay/4, s.Seed)
+	}
 	d, err := demo.Start(ctx, demo.Options{
 		Fleet:          fleet.Options{Document: cloneDocument(s.Document), Catalogue: s.Catalogue, Service: s.Service, ConnectCost: s.ConnectCost, Documents: documents},
 		NodesPerDomain: max(1, s.Nodes/len(s.Document.Domains)),
@@ -104,17 +110,18 @@
 	if c == CaseOverload {
 		s.Share = overloadShare
 	}
-	bare, err := measureBare(ctx, d.Fleet.Document(), s.Catalogue)
+	bare, err := measureBare(ctx, d.Fleet.Document(), s.Catalogue, network)
 	if err != nil {
 		return nil, err
 	}
 	runner := func(duration time.Duration, seed uint64) *Runner {
-		return NewRunner(Options{Streams: s.streams(), Duration: duration, ClientDelay: s.ClientDelay, Key: s.Keys, Seed: seed}, d.Members)
+		return NewRunner(Options{Streams: s.streams(), Duration: duration, ClientDelay: s.ClientDelay, Key: s.Keys, Seed: seed, Dial: network.Dial}, d.Members)
 	}
 	runner(s.Warmup, s.Seed+1).Run(ctx)
 	before := searchRuns(d.Fleet, s.Document)
-	induce(ctx, d, network, c)
+	stop := induce(ctx, d, network, c)
 	results := runner(s.Duration, s.Seed+2).Run(ctx)
+	stop()
 	r := report(d.Fleet, s, c, results, before)
 	r.Bare = bare
 	return r, nil
@@ -141,7 +148,10 @@
 	return d
 }
 
-func induce(ctx context.Context, d *demo.Deployment, network *netsim.Network, c Case) {
+// induce starts the failure of a case. stop ends a change of the deployment that is under way and waits for it.
+func induce(ctx context.Context, d *demo.Deployment, network *netsim.Network, c Case) (stop func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	var changes sync.WaitGroup
 	doc := d.Fleet.Document()
 	switch c {
 	case CaseStraggler:
@@ -156,8 +166,9 @@
 			network.Cut(doc.Domains[0].Name, other.Name)
 		}
 	case CaseRolling:
-		go d.ReplaceAll(ctx)
+		changes.Go(func() { d.ReplaceAll(ctx) })
 	}
+	return func() { cancel(); changes.Wait() }
 }
 
 func searchRuns(f *fleet.Fleet, doc config.Document) map[string]int64 {
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -35,6 +36,7 @@
 	ClientDelay time.Duration // one-way delay between callers and the tier
 	Key         string
 	Seed        uint64
+	Dial        func(ctx context.Context, address string) (net.Conn, error) // nil dials TCP
 }
 
 // Runner offers load to the nodes of a deployment.
@@ -51,6 +53,9 @@
 // NewRunner returns a runner that spreads requests over the nodes that are ready, as the platform's balancer does.
 func NewRunner(opts Options, nodes func() []*demo.Member) *Runner {
 	transport := &http.Transport{MaxIdleConnsPerHost: 256}
+	if opts.Dial != nil {
+		transport.DialContext = func(ctx context.Context, _, address string) (net.Conn, error) { return opts.Dial(ctx, address) }
+	}
 	r := &Runner{opts: opts, nodes: nodes, results: map[string]*Result{},
 		client: demo.Client{HTTP: &http.Client{Transport: transport}, Key: opts.Key}}
 	for _, s := range opts.Streams {
--- a/internal/measure/search.go
+++ b/internal/measure/search.go
@@ -174,6 +174,8 @@
 // Owns implements relay.Remotes.
 func (noRemotes) Owns(string) bool { return false }
 
+func (noRemotes) Reaches(string) bool { return false }
+
 // usualReplicas is the number of targets of a service where it does not vary.
 const usualReplicas = 3
 
--- a/internal/node/directory.go
+++ b/internal/node/directory.go
@@ -102,6 +102,11 @@
 	return relays
 }
 
+// Reaches implements relay.Remotes.
+func (d *directory) Reaches(domain string) bool {
+	return slices.ContainsFunc(d.members.Members(domain), servesLegs)
+}
+
 // servesLegs reports whether a node may get new legs. A node that drains or has paused takes no new work.
 func servesLegs(m membership.Member) bool {
 	return m.HasRole(membership.RoleRelay) && m.Status == membership.Alive && m.Life == statechart.NodeReady
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -39,7 +39,8 @@
 	// ReadsPerSecond and Burst limit the reads of this node, waiting watches included.
 	ReadsPerSecond float64
 	Burst          int
-	// Timeout bounds one read; a watch may take its wait in addition.
+	// Timeout bounds one read, and each dial: net/http goes on with a dial whose read has given up. A watch may take its
+	// wait in addition.
 	Timeout time.Duration
 	// Dial opens a TCP connection; nil uses net.Dialer.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
@@ -64,6 +65,10 @@
 	if c.Timeout == 0 {
 		c.Timeout = DefaultTimeout
 	}
+	if c.Dial == nil {
+		var d net.Dialer
+		c.Dial = func(ctx context.Context, address string) (net.Conn, error) { return d.DialContext(ctx, "tcp", address) }
+	}
 	if c.Metrics == nil {
 		c.Metrics = metrics.NewSet()
 	}
@@ -90,8 +95,10 @@
 		return nil, err
 	}
 	transport := &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute}
-	if cfg.Dial != nil {
-		transport.DialContext = func(ctx context.Context, _, address string) (net.Conn, error) { return cfg.Dial(ctx, address) }
+	transport.DialContext = func(ctx context.Context, _, address string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, cfg.Timeout)
+		defer cancel()
+		return cfg.Dial(ctx, address)
 	}
 	return &Client{
 		cfg:    cfg,
--- a/internal/quarantine/guard_test.go
+++ b/internal/quarantine/guard_test.go
@@ -181,6 +181,16 @@
 		Expect(g.Reserved(spare.Target, at(time.Second+quarantine.LeaseWaitTTL))).To(BeFalse(), "never started")
 	})
 
+	// Guards against an isolated run beside a cancelled call, whose crash would confirm nothing and cost another target.
+	It("tells how long cancelled calls of other requests may still run", func() {
+		g := suspected()
+		g.End(begin(g, other, spare, start), quarantine.Unanswered, start)
+		Expect(g.Lingers(spare.Target, fp, start)).To(Equal(quarantine.LingerTTL))
+		Expect(g.Lingers(spare.Target, other, start)).To(BeZero(), "its own call")
+		Expect(g.Lingers(spare.Target, fp, at(quarantine.LingerTTL))).To(BeZero())
+		Expect(g.Lingers("unknown", fp, start)).To(BeZero())
+	})
+
 	// Guards against a crash after the deadline of an isolated run, or beside a cancelled call, that confirms nothing.
 	It("confirms a crash shortly after an isolated run, and the second beside cancelled calls", func() {
 		g := suspected()
--- a/internal/quarantine/lease.go
+++ b/internal/quarantine/lease.go
@@ -105,6 +105,24 @@
 	return t.lease != nil
 }
 
+// Lingers returns how long calls of other requests that this node cancelled may still run on the target. A run beside them
+// that crashes the target would prove nothing. No call is added while the target is reserved.
+func (g *Guard) Lingers(target string, fp Fingerprint, now time.Time) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	t := g.targets[target]
+	if t == nil {
+		return 0
+	}
+	var longest time.Duration
+	for _, tr := range t.traces {
+		if !tr.lost && tr.fp != fp && tr.fresh(now) {
+			longest = max(longest, LingerTTL-now.Sub(tr.at))
+		}
+	}
+	return longest
+}
+
 // wake marks a lease as ready when its run would be alone.
 func (g *Guard) wake(l *Lease) {
 	if l != nil && !l.isReady && len(g.target(l.place.Target).calls) == 0 && g.inFlight[l.fp] == 0 {
--- a/internal/relay/fake_test.go
+++ b/internal/relay/fake_test.go
@@ -185,6 +185,8 @@
 
 func (fakeRemotes) Owns(string) bool { return true }
 
+func (fakeRemotes) Reaches(string) bool { return true }
+
 // rig is a relay in failure domain north over fake targets.
 type rig struct {
 	g        *WithT
--- a/internal/relay/isolate.go
+++ b/internal/relay/isolate.go
@@ -22,11 +22,13 @@
 // request would run it alone once and lose another target.
 const isolationStagger = 750 * time.Millisecond
 
-// isolationDelay is how long after the suspicion this failure domain may run the request alone on the service.
+// isolationDelay is how long after the suspicion this failure domain may run the request alone on the service. Failure
+// domains that are out of reach have no turn: their verdict would not arrive, and a failure domain that is cut off must
+// reach its own.
 func (r *Relay) isolationDelay(fp quarantine.Fingerprint, s *service) time.Duration {
 	var domains []string
 	for _, t := range s.targets {
-		if !slices.Contains(domains, t.Domain) {
+		if r.reaches(t.Domain) && !slices.Contains(domains, t.Domain) {
 			domains = append(domains, t.Domain)
 		}
 	}
@@ -37,6 +39,11 @@
 	return time.Duration(rank) * isolationStagger
 }
 
+// reaches reports whether calls to targets of the failure domain can arrive.
+func (r *Relay) reaches(domain string) bool {
+	return domain == r.cfg.Domain || r.deps.Remotes.Reaches(domain)
+}
+
 // awaitTurn waits until it is this failure domain's turn to run a suspect, or the verdict has changed. It reports false
 // when ctx ended first.
 func (r *Relay) awaitTurn(ctx context.Context, fp quarantine.Fingerprint, s *service) bool {
@@ -109,10 +116,19 @@
 	}
 }
 
+// pickForIsolation prefers a target on which no cancelled call may still run, where the run need not wait for its end, and
+// leaves out failure domains that are out of reach, where a run would end without a verdict.
 func (p *part) pickForIsolation() (choice balance.Choice, ok bool) {
 	now := time.Now()
-	p.leg.relay.withRandom(func(rnd *rand.Rand) {
-		choice, ok = p.service.picker.Pick(balance.Request{Eligible: p.eligible(now), NoProbe: true}, now, rnd)
+	r := p.leg.relay
+	usable := p.eligible(now)
+	eligible := func(id string) bool { return usable(id) && r.reaches(p.service.targets[id].Domain) }
+	quiet := func(id string) bool { return eligible(id) && r.deps.Guard.Lingers(id, p.leg.fp, now) == 0 }
+	r.withRandom(func(rnd *rand.Rand) {
+		choice, ok = p.service.picker.Pick(balance.Request{Eligible: quiet, NoProbe: true}, now, rnd)
+		if !ok {
+			choice, ok = p.service.picker.Pick(balance.Request{Eligible: eligible, NoProbe: true}, now, rnd)
+		}
 	})
 	return choice, ok
 }
@@ -129,9 +145,11 @@
 	}
 	select {
 	case <-lease.Ready():
-		return lease, ""
+		if pauseFor(ctx, r.deps.Guard.Lingers(at.Target, fp, time.Now())) {
+			return lease, ""
+		}
 	case <-ctx.Done():
-		r.deps.Guard.Release(lease)
-		return nil, peer.FailureReserved
 	}
+	r.deps.Guard.Release(lease)
+	return nil, peer.FailureReserved
 }
--- a/internal/relay/localtarget.go
+++ b/internal/relay/localtarget.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"sync"
 	"syscall"
 	"time"
@@ -47,7 +46,7 @@
 func (r *Relay) newLocalTarget(group, service, id string, spec targetSpec, before *localTarget) (*localTarget, error) {
 	cfg := target.Config{ID: id, Group: group, Address: spec.address, MaxConnections: spec.connections, Metrics: r.deps.Metrics}
 	if before != nil {
-		cfg.Dial = dialAfter(before.closed)
+		cfg.After = before.closed
 	}
 	client, err := r.deps.Dial(cfg)
 	if err != nil {
@@ -60,18 +59,6 @@
 	}, nil
 }
 
-func dialAfter(closed <-chan struct{}) func(context.Context, string) (net.Conn, error) {
-	var dialer net.Dialer
-	return func(ctx context.Context, address string) (net.Conn, error) {
-		select {
-		case <-closed:
-			return dialer.DialContext(ctx, "tcp", address)
-		case <-ctx.Done():
-			return nil, eris.Wrap(context.Cause(ctx), "wait for the end of the earlier connections")
-		}
-	}
-}
-
 func (t *localTarget) close(ctx context.Context) {
 	_ = t.client.Close(ctx) // the only error is that calls were still in flight at the end of ctx
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -28,6 +28,8 @@
 	Command(ctx context.Context, domain string, req peer.CommandRequest) (api.CommandResult, error)
 	// Owns reports whether this node is the home or the spare relay of the group in its failure domain.
 	Owns(group string) bool
+	// Reaches reports whether a relay of the failure domain was heard of late.
+	Reaches(domain string) bool
 }
 
 // Dialer makes the client of one target.
--- a/internal/relay/tail_test.go
+++ b/internal/relay/tail_test.go
@@ -95,6 +95,8 @@
 
 func (d *domainRelays) Owns(string) bool { return true }
 
+func (d *domainRelays) Reaches(string) bool { return true }
+
 // tailRun is one measurement of the policies in virtual time.
 type tailRun struct {
 	services int
--- a/internal/standin/netsim/netsim.go
+++ b/internal/standin/netsim/netsim.go
@@ -19,6 +19,7 @@
 type Network struct {
 	delay  time.Duration
 	jitter time.Duration
+	memory *memory // nil connects over TCP
 
 	mu     sync.Mutex
 	rnd    *rand.Rand
@@ -94,7 +95,6 @@
 
 // Dialer returns a dial function for a process in the given place.
 func (n *Network) Dialer(from string) func(ctx context.Context, address string) (net.Conn, error) {
-	var dialer net.Dialer
 	return func(ctx context.Context, address string) (net.Conn, error) {
 		n.mu.Lock()
 		to := n.places[address]
@@ -103,9 +103,9 @@
 			<-ctx.Done() // packets are dropped, so a dial times out
 			return nil, eris.Wrap(ErrCut, address)
 		}
-		raw, err := dialer.DialContext(ctx, "tcp", address)
+		raw, err := n.Dial(ctx, address)
 		if err != nil {
-			return nil, eris.Wrapf(err, "dial %s", address)
+			return nil, err
 		}
 		if err := sleep(ctx, 2*n.oneWay(from, to)); err != nil {
 			raw.Close()
--- a/internal/standin/platformsim/server.go
+++ b/internal/standin/platformsim/server.go
@@ -27,6 +27,8 @@
 	ControlAddress string
 	// ReadsPerSecond is the read limit across all readers; 0 means DefaultReadsPerSecond.
 	ReadsPerSecond int
+	// Listen opens the listeners; nil listens on TCP.
+	Listen func(address string) (net.Listener, error)
 }
 
 // Faults are the switchable failures of the platform. The zero value is a healthy platform.
@@ -80,6 +82,9 @@
 	if cfg.ReadsPerSecond == 0 {
 		cfg.ReadsPerSecond = DefaultReadsPerSecond
 	}
+	if cfg.Listen == nil {
+		cfg.Listen = func(address string) (net.Listener, error) { return net.Listen("tcp", address) }
+	}
 	return &Server{cfg: cfg, store: newStore()}
 }
 
@@ -103,7 +108,7 @@
 }
 
 func (s *Server) serve(address string, h http.Handler) (string, error) {
-	ln, err := net.Listen("tcp", address)
+	ln, err := s.cfg.Listen(address)
 	if err != nil {
 		return "", eris.Wrapf(err, "platformsim: listen on %s", address)
 	}
--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -45,6 +45,8 @@
 	// RedialMin and RedialMax bound the pause after a failed open; it doubles with each failure.
 	RedialMin time.Duration
 	RedialMax time.Duration
+	// After holds back all connections until it is closed; nil opens them at once.
+	After <-chan struct{}
 	// Dial opens a TCP connection; nil uses net.Dialer.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// Metrics receives the metrics of the client; nil means a set of its own.
--- a/internal/target/connection.go
+++ b/internal/target/connection.go
@@ -39,6 +39,13 @@
 // the connection, which a target at its connection limit closes instead, and that its HTTP/2 settings are in force:
 // requests above a stream limit that is not known yet would be reset after they were written.
 func openConnection(ctx context.Context, cfg Config, m *clientMetrics, changed *signal) (*connection, error) {
+	if cfg.After != nil {
+		select {
+		case <-cfg.After:
+		case <-ctx.Done():
+			return nil, eris.Wrap(context.Cause(ctx), "wait for the end of the earlier connections")
+		}
+	}
 	raw, err := cfg.Dial(ctx, cfg.Address)
 	if err != nil {
 		return nil, eris.Wrap(err, "dial")
--- a/test/check/traffic.go
+++ b/test/check/traffic.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -33,6 +34,10 @@
 	Seed      uint64
 	// Prefix starts each request id, so that several callers of one test do not share ids.
 	Prefix string
+	// Pace is the pause of a caller between two requests; 0 takes defaultPace.
+	Pace time.Duration
+	// Dial opens the callers' connections; nil dials TCP.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // Traffic sends searches and commands until it is stopped and checks every answer. mu guards faults and failures.
@@ -54,16 +59,18 @@
 	failures []string // requests that were not answered: allowed only under some failures
 }
 
-// pace is the pause of a caller between two requests.
-const pace = 5 * time.Millisecond
+const defaultPace = 5 * time.Millisecond
 
 // graceOfTransport is how much longer than its time budget a request may take before the caller gives up.
 const graceOfTransport = 3 * time.Second
 
 // StartTraffic starts the callers.
 func StartTraffic(opts Options) *Traffic {
+	if opts.Pace <= 0 {
+		opts.Pace = defaultPace
+	}
 	ctx, cancel := context.WithCancel(context.Background())
-	t := &Traffic{opts: opts, stop: cancel, ledger: NewLedger(), http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}}}
+	t := &Traffic{opts: opts, stop: cancel, ledger: NewLedger(), http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16, DialContext: opts.Dial}}}
 	for i := range opts.Searchers {
 		t.wg.Go(func() { t.loop(ctx, uint64(i), t.search) })
 	}
@@ -80,7 +87,7 @@
 			send(rnd)
 		}
 		select {
-		case <-time.After(pace):
+		case <-time.After(t.opts.Pace):
 		case <-ctx.Done():
 		}
 	}
--- a/test/failure/configuration_test.go
+++ b/test/failure/configuration_test.go
@@ -62,18 +62,21 @@
 			}
 		}
 	})
-	return func() { close(end); wg.Wait() }
+	stop = sync.OnceFunc(func() { close(end); wg.Wait() })
+	h.t.Cleanup(stop)
+	return stop
 }
 
 // Guards against a change that reaches only some nodes or fails requests on its way.
 func TestConfigurationIsInForceEverywhere(t *testing.T) {
-	h := start(t, 2)
-	for number := 2; number <= 4; number++ {
-		h.publish(addCallerOnce(number))
-		h.expectInForce(number, configBound)
-	}
-	h.recovered()
-	h.verifyClean()
+	deploy(t, 2, func(h *harness) {
+		for number := 2; number <= 4; number++ {
+			h.publish(addCallerOnce(number))
+			h.expectInForce(number, configBound)
+		}
+		h.recovered()
+		h.verifyClean()
+	})
 }
 
 // addCallerOnce adds the second caller in version 2 and changes a limit in later versions.
@@ -86,74 +89,78 @@
 
 // Guards against a failure domain that cannot reach the platform and does not learn of a version from its peers.
 func TestConfigurationReachesDomainWithoutPlatform(t *testing.T) {
-	h := start(t, 2)
-	h.network.Cut("north", demo.PlacePlatform)
-	h.publish(addCaller)
-	h.expectInForce(2, configBound)
-	h.verifyClean()
+	deploy(t, 2, func(h *harness) {
+		h.network.Cut("north", demo.PlacePlatform)
+		h.publish(addCaller)
+		h.expectInForce(2, configBound)
+		h.verifyClean()
+	})
 }
 
 // Guards against a configuration that reverts when the platform shows an older version and nodes restart.
 func TestConfigurationNeverReverts(t *testing.T) {
-	h := start(t, 2)
-	old := h.d.Fleet.Document()
-	h.publish(addCaller)
-	h.expectInForce(2, configBound)
-	stop := h.watchVersions(2)
-	h.g.Expect(h.d.Fleet.Publish(old)).To(Succeed()) // a stale replica of the platform answers from now on
-	h.run(held)
-	for _, m := range h.d.Members() {
-		h.g.Expect(h.d.Replace(h.t.Context(), m)).To(Succeed())
+	deploy(t, 2, func(h *harness) {
+		old := h.d.Fleet.Document()
+		h.publish(addCaller)
+		h.expectInForce(2, configBound)
+		stop := h.watchVersions(2)
+		h.g.Expect(h.d.Fleet.Publish(old)).To(Succeed()) // a stale replica of the platform answers from now on
+		h.run(held)
+		for _, m := range h.d.Members() {
+			h.g.Expect(h.d.Replace(h.t.Context(), m)).To(Succeed())
+			h.g.Expect(h.d.WaitReady(h.t.Context())).To(Succeed())
+		}
+		m := h.member("south", 1)
+		h.d.Kill(m)
+		h.g.Expect(h.d.Restart(h.t.Context(), m)).To(Succeed())
 		h.g.Expect(h.d.WaitReady(h.t.Context())).To(Succeed())
-	}
-	m := h.member("south", 1)
-	h.d.Kill(m)
-	h.g.Expect(h.d.Restart(h.t.Context(), m)).To(Succeed())
-	h.g.Expect(h.d.WaitReady(h.t.Context())).To(Succeed())
-	h.run(held)
-	stop()
-	h.recovered()
-	h.verify()
-	h.g.Expect(h.inForce(2)).To(BeTrue())
+		h.run(held)
+		stop()
+		h.recovered()
+		h.verify()
+		h.g.Expect(h.inForce(2)).To(BeTrue())
+	})
 }
 
 // Guards against an invalid version, or other bytes under the same version, that takes effect or blocks the next one.
 func TestInvalidConfigurationChangesNothing(t *testing.T) {
-	h := start(t, 2)
-	good := h.d.Fleet.Document()
-	stop := h.watchVersions(1)
-	h.publish(func(d *config.Document) { d.Groups[0].ConnectionLimit = 1 }) // below candidates × 2
-	h.run(held)
-	for _, m := range h.d.Members() {
-		h.g.Expect(version(m, "configuration")).To(Equal(1))
-	}
-	next := good
-	next.Version.Number = 3
-	next.Callers = append(next.Callers[:len(next.Callers):len(next.Callers)], next.Callers[0])
-	addCaller(&next)
-	next.Callers = append(next.Callers[:2:2], next.Callers[3])
-	h.g.Expect(h.d.Fleet.Publish(next)).To(Succeed())
-	h.expectInForce(3, configBound)
-	stop()
-	h.verifyClean()
+	deploy(t, 2, func(h *harness) {
+		good := h.d.Fleet.Document()
+		stop := h.watchVersions(1)
+		h.publish(func(d *config.Document) { d.Groups[0].ConnectionLimit = 1 }) // below candidates × 2
+		h.run(held)
+		for _, m := range h.d.Members() {
+			h.g.Expect(version(m, "configuration")).To(Equal(1))
+		}
+		next := good
+		next.Version.Number = 3
+		next.Callers = append(next.Callers[:len(next.Callers):len(next.Callers)], next.Callers[0])
+		addCaller(&next)
+		next.Callers = append(next.Callers[:2:2], next.Callers[3])
+		h.g.Expect(h.d.Fleet.Publish(next)).To(Succeed())
+		h.expectInForce(3, configBound)
+		stop()
+		h.verifyClean()
+	})
 }
 
 // Guards against a deployment that cannot take a change after its platform was down, or that loses its configuration
 // meanwhile.
 func TestConfigurationOutlastsThePlatform(t *testing.T) {
-	h := start(t, 2)
-	h.publish(addCaller)
-	h.expectInForce(2, configBound)
-	h.d.Fleet.Platform.SetFaults(platformsim.Faults{Down: true})
-	stop := h.watchVersions(2)
-	m := h.member("east", 0)
-	h.g.Expect(h.d.Replace(h.t.Context(), m)).To(Succeed())
-	h.g.Expect(h.d.WaitReady(h.t.Context())).To(Succeed())
-	stop()
-	h.d.Fleet.Platform.SetFaults(platformsim.Faults{})
-	h.publish(addCallerOnce(3))
-	h.g.Eventually(func() bool { return h.inForce(3) }, settled, poll).Should(BeTrue())
-	h.verifyClean()
+	deploy(t, 2, func(h *harness) {
+		h.publish(addCaller)
+		h.expectInForce(2, configBound)
+		h.d.Fleet.Platform.SetFaults(platformsim.Faults{Down: true})
+		stop := h.watchVersions(2)
+		m := h.member("east", 0)
+		h.g.Expect(h.d.Replace(h.t.Context(), m)).To(Succeed())
+		h.g.Expect(h.d.WaitReady(h.t.Context())).To(Succeed())
+		stop()
+		h.d.Fleet.Platform.SetFaults(platformsim.Faults{})
+		h.publish(addCallerOnce(3))
+		h.g.Eventually(func() bool { return h.inForce(3) }, settled, poll).Should(BeTrue())
+		h.verifyClean()
+	})
 }
 
 func removeFirstCaller(d *config.Document) { d.Callers = d.Callers[1:] }
--- a/test/failure/failures_test.go
+++ b/test/failure/failures_test.go
@@ -207,12 +207,13 @@
 func TestAnswersAreTrueUnderFailure(t *testing.T) {
 	for _, f := range failures {
 		t.Run(f.name, func(t *testing.T) {
-			h := start(t, 2)
-			repair := f.induce(h)
-			h.run(held)
-			repair()
-			h.recovered()
-			h.verify()
+			deploy(t, 2, func(h *harness) {
+				repair := f.induce(h)
+				h.run(held)
+				repair()
+				h.recovered()
+				h.verify()
+			})
 		})
 	}
 }
@@ -239,14 +240,15 @@
 	}
 	for _, p := range pairs {
 		t.Run(p[0]+" and "+p[1], func(t *testing.T) {
-			h := start(t, 2)
-			first := byName[p[0]].induce(h)
-			second := byName[p[1]].induce(h)
-			h.run(held)
-			first()
-			second()
-			h.recovered()
-			h.verify()
+			deploy(t, 2, func(h *harness) {
+				first := byName[p[0]].induce(h)
+				second := byName[p[1]].induce(h)
+				h.run(held)
+				first()
+				second()
+				h.recovered()
+				h.verify()
+			})
 		})
 	}
 }
--- a/test/failure/harness_test.go
+++ b/test/failure/harness_test.go
@@ -1,4 +1,5 @@
-// Package failure_test proves the requirements R1 to R8 of docs/design.md, section 2, over whole nodes under failures.
+// Package failure_test proves the requirements R1 to R8 of docs/design.md, section 2, over whole nodes under failures. Its
+// deployments run in virtual time over a network in memory, so that their verdicts do not depend on the machine's load.
 package failure_test
 
 import (
@@ -6,6 +7,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"regexp"
@@ -13,8 +15,10 @@
 	"strconv"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	. "github.com/onsi/gomega"
 
 	"github.com/medlarshunt/medlarshunt/internal/config"
@@ -42,9 +46,12 @@
 	// settled bounds every wait for a state that has no bound in the design.
 	settled = 30 * time.Second
 	poll    = 20 * time.Millisecond
+	// pace is the pause of a caller between two requests. Under the race detector, a shorter one makes the whole package
+	// take minutes.
+	pace = 20 * time.Millisecond
 )
 
-// running bounds the deployments that run at once, because the machine is shared.
+// running bounds the deployments that run at once, because each of them keeps a core busy.
 var running = make(chan struct{}, 6)
 
 // harness is a deployment under traffic.
@@ -55,14 +62,29 @@
 	network *netsim.Network
 	data    *check.Data
 	traffic *check.Traffic
+	callers *http.Client
 }
 
-// start starts a deployment with traffic and ends both with the test.
-func start(t *testing.T, nodesPerDomain int) *harness {
+// A summary starts a goroutine of the metrics library that never ends, which virtual time does not allow. The first one of
+// the process is made outside of it.
+var _ = metrics.NewSet().NewSummary("outside_of_virtual_time")
+
+// deploy runs a test on a deployment under traffic, in virtual time.
+func deploy(t *testing.T, nodesPerDomain int, test func(h *harness)) {
 	t.Parallel()
 	running <- struct{}{}
-	t.Cleanup(func() { <-running })
-	h := &harness{t: t, g: NewWithT(t), network: netsim.New(hopDelay, hopDelay/4, seed), data: check.NewData(group, documents)}
+	defer func() { <-running }()
+	synctest.Test(t, func(t *testing.T) {
+		t.Cleanup(func() { time.Sleep(settled) }) // ends dials and pauses that nobody waits for
+		test(start(t, nodesPerDomain))
+	})
+}
+
+// start starts a deployment with traffic and ends both with the test.
+func start(t *testing.T, nodesPerDomain int) *harness {
+	h := &harness{t: t, g: NewWithT(t), network: netsim.NewInMemory(hopDelay, hopDelay/4, seed), data: check.NewData(group, documents)}
+	h.callers = &http.Client{Transport: &http.Transport{DialContext: h.dial}}
+	t.Cleanup(h.callers.CloseIdleConnections)
 	document, catalogue := fleet.Scenario(services)
 	h.data.Add(catalogue)
 	opts := demo.Options{
@@ -82,13 +104,18 @@
 	t.Cleanup(func() { d.Close(context.Background()) })
 	h.traffic = check.StartTraffic(check.Options{
 		Data: h.data, Nodes: h.ready, Key: fleet.DemoKey, Group: group, Timeout: timeout, Searchers: 3, Commands: 2,
-		Limit: documents, Seed: seed, Prefix: "t",
+		Limit: documents, Seed: seed, Prefix: "t", Dial: h.dial, Pace: pace,
 	})
 	t.Cleanup(h.traffic.Stop)
 	h.eventually(func() bool { return h.traffic.Complete.Load() > 20 && h.traffic.Ran.Load() > 5 }, "traffic runs")
 	return h
 }
 
+// dial connects a caller to a node.
+func (h *harness) dial(ctx context.Context, _, address string) (net.Conn, error) {
+	return h.network.Dial(ctx, address)
+}
+
 func (h *harness) eventually(f func() bool, what string, args ...any) {
 	h.t.Helper()
 	h.g.Eventually(f, settled, poll).Should(BeTrue(), fmt.Sprintf(what, args...))
@@ -138,7 +165,7 @@
 // serves reports whether a node answers a complete search.
 func (h *harness) serves(m *demo.Member) bool {
 	limit := 5
-	c := demo.Client{HTTP: http.DefaultClient, Key: fleet.DemoKey}
+	c := demo.Client{HTTP: h.callers, Key: fleet.DemoKey}
 	query := json.RawMessage(fmt.Sprintf(`{"probe":"%s-%d"}`, m.ID, time.Now().UnixNano()))
 	a, err := c.Search(h.t.Context(), m.URL, group, entry.SearchBody{Query: query, Limit: &limit}, timeout)
 	return err == nil && a.Coverage.Complete
--- a/test/failure/poison_test.go
+++ b/test/failure/poison_test.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"errors"
-	"net/http"
 	"slices"
 	"sync"
 	"testing"
@@ -56,14 +55,16 @@
 			}
 		})
 	})
-	return func() { close(end); wg.Wait() }
+	stop = sync.OnceFunc(func() { close(end); wg.Wait() })
+	h.t.Cleanup(stop) // also when an expectation has ended the test
+	return stop
 }
 
 // sendPoison sends the poison to the nodes of the failure domains in turn and returns the last error. No domain means
 // all of them.
 func (h *harness) sendPoison(d time.Duration, domains ...string) (last error) {
 	limit := 5
-	c := demo.Client{HTTP: http.DefaultClient, Key: fleet.DemoKey}
+	c := demo.Client{HTTP: h.callers, Key: fleet.DemoKey}
 	body := entry.SearchBody{Query: json.RawMessage(`{"q":"` + poison + `"}`), Limit: &limit}
 	end := time.Now().Add(d)
 	for i := 0; time.Now().Before(end); i++ {
@@ -82,60 +83,64 @@
 
 // Guards against a home relay that lets a request crash more than two targets (design section 8).
 func TestPoisonFromOneDomainCrashesTwoTargets(t *testing.T) {
-	h := start(t, 2)
-	stop := h.superviseTargets()
-	h.sendPoison(3*time.Second, "north")
-	h.t.Logf("crashes: %d", h.crashes())
-	h.g.Expect(h.crashes()).To(BeNumerically(">", 0), "the poison must crash a target for the test to mean anything")
-	h.g.Expect(h.crashes()).To(BeNumerically("<=", oneDomainBound))
-	stop()
-	h.recovered()
-	h.verify()
+	deploy(t, 2, func(h *harness) {
+		stop := h.superviseTargets()
+		h.sendPoison(3*time.Second, "north")
+		h.t.Logf("crashes: %d", h.crashes())
+		h.g.Expect(h.crashes()).To(BeNumerically(">", 0), "the poison must crash a target for the test to mean anything")
+		h.g.Expect(h.crashes()).To(BeNumerically("<=", oneDomainBound))
+		stop()
+		h.recovered()
+		h.verify()
+	})
 }
 
 // Guards against a request that crashes one target after another because its caller sends it again (design section 8),
 // while the other callers' answers stay true and come back to full coverage.
 func TestPoisonIsContained(t *testing.T) {
-	h := start(t, 2)
-	stop := h.superviseTargets()
-	h.sendPoison(3 * time.Second)
-	first := h.crashes()
-	last := h.sendPoison(3 * time.Second)
-	h.t.Logf("crashes: %d in the first 3 s, %d afterwards", first, h.crashes()-first)
-	h.g.Expect(first).To(BeNumerically(">", 0), "the poison must crash a target for the test to mean anything")
-	h.g.Expect(h.crashes()).To(Equal(first), "the poison crashes targets after it was confirmed")
-	var refused *api.Error
-	h.g.Expect(errors.As(last, &refused)).To(BeTrue(), "%v", last)
-	h.g.Expect(refused.Code).To(Equal(api.CodeQuarantined))
-	stop()
-	h.recovered()
-	h.verify()
+	deploy(t, 2, func(h *harness) {
+		stop := h.superviseTargets()
+		h.sendPoison(3 * time.Second)
+		first := h.crashes()
+		last := h.sendPoison(3 * time.Second)
+		h.t.Logf("crashes: %d in the first 3 s, %d afterwards", first, h.crashes()-first)
+		h.g.Expect(first).To(BeNumerically(">", 0), "the poison must crash a target for the test to mean anything")
+		h.g.Expect(h.crashes()).To(Equal(first), "the poison crashes targets after it was confirmed")
+		var refused *api.Error
+		h.g.Expect(errors.As(last, &refused)).To(BeTrue(), "%v", last)
+		h.g.Expect(refused.Code).To(Equal(api.CodeQuarantined))
+		stop()
+		h.recovered()
+		h.verify()
+	})
 }
 
 // Guards against more crashes than design section 8 allows when the poison reaches all failure domains before their
 // nodes have heard of it.
 func TestPoisonFromAllDomainsIsBounded(t *testing.T) {
-	h := start(t, 2)
-	stop := h.superviseTargets()
-	h.sendPoison(3 * time.Second)
-	crashes := h.crashes()
-	stop()
-	h.t.Logf("crashes: %d", crashes)
-	h.g.Expect(crashes).To(BeNumerically("<=", poisonBound))
+	deploy(t, 2, func(h *harness) {
+		stop := h.superviseTargets()
+		h.sendPoison(3 * time.Second)
+		crashes := h.crashes()
+		stop()
+		h.t.Logf("crashes: %d", crashes)
+		h.g.Expect(crashes).To(BeNumerically("<=", poisonBound))
+	})
 }
 
 // Guards against a quarantine that a failure domain without contact to the others does not build up by itself.
 func TestPoisonIsContainedInCutDomain(t *testing.T) {
-	h := start(t, 2)
-	repair := cutFromAll(h)
-	stop := h.superviseTargets()
-	h.sendPoison(4 * time.Second)
-	first := h.crashes()
-	h.sendPoison(2 * time.Second)
-	h.t.Logf("crashes: %d in the first 4 s, %d afterwards", first, h.crashes()-first)
-	h.g.Expect(h.crashes()).To(Equal(first), "the poison crashes targets after it was confirmed")
-	repair()
-	stop()
-	h.recovered()
-	h.verify()
+	deploy(t, 2, func(h *harness) {
+		repair := cutFromAll(h)
+		stop := h.superviseTargets()
+		h.sendPoison(4 * time.Second)
+		first := h.crashes()
+		h.sendPoison(2 * time.Second)
+		h.t.Logf("crashes: %d in the first 4 s, %d afterwards", first, h.crashes()-first)
+		h.g.Expect(h.crashes()).To(Equal(first), "the poison crashes targets after it was confirmed")
+		repair()
+		stop()
+		h.recovered()
+		h.verify()
+	})
 }
--- a/test/failure/tickets_test.go
+++ b/test/failure/tickets_test.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"errors"
-	"net/http"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -24,7 +23,7 @@
 // book gets a ticket from a node and sends the command under it.
 func (h *harness) book(m *demo.Member, name string) *booking {
 	key := uint64(7)
-	b := &booking{client: demo.Client{HTTP: http.DefaultClient, Key: fleet.DemoKey},
+	b := &booking{client: demo.Client{HTTP: h.callers, Key: fleet.DemoKey},
 		body: entry.CommandBody{Key: &key, Body: json.RawMessage(`{"book":"` + name + `"}`)}}
 	_, err := b.client.Command(h.t.Context(), m.URL, group, "", b.body, timeout)
 	var offered *api.Error
@@ -50,27 +49,29 @@
 // Guards against "not run" for a command that ran: its caller presents the ticket again, to a node that takes no new
 // work and has not asked the owner of the ticket (R4). The caller would take a new ticket and book twice.
 func TestRepeatedCommandAtDrainingNode(t *testing.T) {
-	h := start(t, 2)
-	m, owner := h.member("north", 0), h.member("east", 0)
-	own, foreign := h.book(m, "own"), h.book(owner, "foreign")
-	stopped := make(chan error, 1)
-	go func() { stopped <- h.d.Stop(h.t.Context(), m) }()
-	h.eventually(func() bool { return !m.Ready() }, "the node drains")
-	h.g.Expect(own.present(h, m)).To(Equal(api.Ran), "the draining node owns the ticket")
-	h.g.Expect(foreign.present(h, m)).To(Equal(api.Ran), "another node owns the ticket")
-	h.g.Expect(<-stopped).NotTo(HaveOccurred())
-	h.g.Expect(own.present(h, owner)).To(Equal(api.Unknown), "the owner is gone")
-	h.verifyClean()
+	deploy(t, 2, func(h *harness) {
+		m, owner := h.member("north", 0), h.member("east", 0)
+		own, foreign := h.book(m, "own"), h.book(owner, "foreign")
+		stopped := make(chan error, 1)
+		go func() { stopped <- h.d.Stop(h.t.Context(), m) }()
+		h.eventually(func() bool { return !m.Ready() }, "the node drains")
+		h.g.Expect(own.present(h, m)).To(Equal(api.Ran), "the draining node owns the ticket")
+		h.g.Expect(foreign.present(h, m)).To(Equal(api.Ran), "another node owns the ticket")
+		h.g.Expect(<-stopped).NotTo(HaveOccurred())
+		h.g.Expect(own.present(h, owner)).To(Equal(api.Unknown), "the owner is gone")
+		h.verifyClean()
+	})
 }
 
 // Guards against "not run" for a command that ran, when the caller is taken out of the configuration in between (R4).
 func TestRepeatedCommandOfRemovedCaller(t *testing.T) {
-	h := start(t, 1)
-	b := h.book(h.member("north", 0), "removed")
-	h.publish(addCaller)
-	h.expectInForce(2, configBound)
-	d := h.publish(removeFirstCaller)
-	h.expectInForce(int(d.Version.Number), configBound)
-	h.traffic.Stop()
-	h.g.Expect(b.present(h, h.member("north", 0))).NotTo(Equal(api.NotRun))
+	deploy(t, 1, func(h *harness) {
+		b := h.book(h.member("north", 0), "removed")
+		h.publish(addCaller)
+		h.expectInForce(2, configBound)
+		d := h.publish(removeFirstCaller)
+		h.expectInForce(int(d.Version.Number), configBound)
+		h.traffic.Stop()
+		h.g.Expect(b.present(h, h.member("north", 0))).NotTo(Equal(api.NotRun))
+	})
 }
