--- a/internal/relay/command.go
+++ b/internal/relay/command.go
@@ -43,6 +43,8 @@
 	fp        quarantine.Fingerprint
 	service   *service
 	tried     []string
+	round     int
+	busy      bool // a target of this round refused the command for now
 }
 
 func (c *commandRun) run(ctx context.Context) api.CommandResult {
@@ -63,6 +65,9 @@
 	for ctx.Err() == nil {
 		choice, ok := c.pick(isolate)
 		if !ok {
+			if c.nextRound(ctx) {
+				continue
+			}
 			break
 		}
 		c.tried = append(c.tried, choice.Target.ID)
@@ -70,10 +75,22 @@
 		if last.Outcome != api.NotRun || last.Code == api.CodeQuarantined || last.Code == api.CodeNoTimeLeft {
 			return last
 		}
+		c.busy = c.busy || last.Code == api.CodeOverloaded
 	}
 	return last
 }
 
+// nextRound goes through the targets again when one refused the command for now. Only the home relay does: rounds of two
+// layers would multiply.
+func (c *commandRun) nextRound(ctx context.Context) bool {
+	if !c.busy || c.onlyLocal || c.round+1 >= maxRounds {
+		return false
+	}
+	c.round++
+	c.busy, c.tried = false, nil
+	return pauseFor(ctx, time.Duration(c.round)*roundPause)
+}
+
 func commandNotRun(code api.Code, message string) api.CommandResult {
 	return api.CommandResult{Outcome: api.NotRun, Code: code, Message: message}
 }
--- a/internal/relay/part.go
+++ b/internal/relay/part.go
@@ -16,7 +16,7 @@
 )
 
 const (
-	// maxRounds is how often a part goes through all targets when each refused it without running it.
+	// maxRounds is how often a part or a command goes through all targets when each refused it without running it.
 	maxRounds = 3
 	// roundPause is the pause before another round; it grows with each round.
 	roundPause = 10 * time.Millisecond
