Leave the retry tokens to retries while they find none

Hedges took the tokens that retries needed: a hedge saves a late part, a retry a lost one. Change: for 1 s after a retry found no token, hedges of the service wait.

--- a/internal/hedge/budget.go
+++ b/internal/hedge/budget.go
@@ -1,6 +1,9 @@
 package hedge
 
-import "sync"
+import (
+	"sync"
+	"time"
+)
 
 const (
 	// DefaultShare is the share of primary attempts that may be added as hedges and retries.
@@ -15,9 +18,10 @@
 // each extra attempt withdraws one. Over any window, withdrawals are at most share × primary attempts + burst.
 // It is safe for concurrent use.
 type Budget struct {
-	mu     sync.Mutex // guards tokens and closed
-	tokens int64
-	closed bool
+	mu      sync.Mutex // guards tokens, closed and starved
+	tokens  int64
+	closed  bool
+	starved time.Time // when a retry last found no token
 
 	deposit, limit int64
 }
@@ -72,6 +76,28 @@
 	return true
 }
 
+// WithdrawRetry takes one token for a retry. While retries find none, Starved reports it.
+func (b *Budget) WithdrawRetry(now time.Time) bool {
+	if b.Withdraw() {
+		return true
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.starved = now
+	return false
+}
+
+// starvedFor is the time after a retry without a token in which hedges leave the tokens to retries. Tokens for a few
+// retries come in within it at the usual rates of requests.
+const starvedFor = time.Second
+
+// Starved reports whether retries need the tokens: a retry replaces a lost part, a hedge only a late one.
+func (b *Budget) Starved(now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return now.Sub(b.starved) < starvedFor
+}
+
 // Refund returns the token of an extra attempt that was never sent.
 func (b *Budget) Refund() {
 	b.mu.Lock()
--- a/internal/hedge/hedge_test.go
+++ b/internal/hedge/hedge_test.go
@@ -202,3 +202,19 @@
 		e.Quantile(0.95)
 	}
 }
+
+// Guards against hedges that take the tokens while parts are lost for want of a retry: a search with too few parts fails, one
+// with a late part is late.
+func TestHedgesLeaveTokensToStarvedRetries(t *testing.T) {
+	g := NewWithT(t)
+	start := time.Unix(1000, 0)
+	b := hedge.NewEmptyBudget(0.5, 2)
+	g.Expect(b.Starved(start)).To(BeFalse(), "nothing was asked for yet")
+	g.Expect(b.WithdrawRetry(start)).To(BeFalse())
+	g.Expect(b.Starved(start)).To(BeTrue())
+	g.Expect(b.Starved(start.Add(time.Minute))).To(BeFalse())
+	b.Fill()
+	state := hedge.State{Others: 1, Remaining: time.Second, Overload: b.Starved(start)}
+	g.Expect(hedge.ShouldHedge(state, b)).To(Equal(hedge.ReasonOverload))
+	g.Expect(b.WithdrawRetry(start)).To(BeTrue(), "the hedge has left the token")
+}
--- a/internal/query/work.go
+++ b/internal/query/work.go
@@ -198,6 +198,7 @@
 func (w *work) hedge(ctx context.Context, timer *time.Timer) {
 	state := hedge.State{
 		Elapsed: time.Since(w.start), Remaining: time.Until(w.deadline), Hedges: w.hedges, Others: w.others(),
+		Overload: w.service.budget.Starved(time.Now()),
 	}
 	switch hedge.ShouldHedge(state, w.service.budget) {
 	case hedge.ReasonGo:
@@ -207,7 +208,7 @@
 			return
 		}
 		w.service.budget.Refund()
-	case hedge.ReasonBudget:
+	case hedge.ReasonBudget, hedge.ReasonOverload:
 		w.engine.m.skipped.Inc()
 		timer.Reset(budgetPause)
 	}
@@ -243,7 +244,7 @@
 	if w.open > 0 && !again {
 		return false // a hedge is under way already
 	}
-	if !w.service.budget.Withdraw() {
+	if !w.service.budget.WithdrawRetry(time.Now()) {
 		w.engine.m.skipped.Inc()
 		return false
 	}
