--- /dev/null
+++ b/internal/standin/netsim/memory_test.go
@@ -0,0 +1,54 @@
+package netsim_test
+
+import (
+	"io"
+	"os"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/medlarshunt/medlarshunt/internal/standin/netsim"
+)
+
+// Guards against connections in memory that end otherwise than those of TCP do: what was written arrives before the end, a
+// deadline ends a read, a port without a listener refuses, and a write to an end that is gone is reset.
+func TestConnectionsInMemory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		n := netsim.NewInMemory(time.Millisecond, 0, 1)
+		l, err := n.Listen("127.0.0.1:0")
+		g.Expect(err).NotTo(HaveOccurred())
+		address := l.Addr().String()
+		_, err = n.Listen(address)
+		g.Expect(err).To(MatchError(syscall.EADDRINUSE))
+		go func() {
+			c, err := l.Accept()
+			g.Expect(err).NotTo(HaveOccurred())
+			_, err = c.Write([]byte("last words"))
+			g.Expect(err).NotTo(HaveOccurred())
+			time.Sleep(time.Second)
+			g.Expect(c.Close()).To(Succeed())
+		}()
+		c, err := n.Dial(t.Context(), address)
+		g.Expect(err).NotTo(HaveOccurred())
+		buffer := make([]byte, 64)
+		read, err := c.Read(buffer)
+		g.Expect(string(buffer[:read]), err).To(Equal("last words"))
+		start := time.Now()
+		g.Expect(c.SetReadDeadline(start.Add(100 * time.Millisecond))).To(Succeed())
+		_, err = c.Read(buffer)
+		g.Expect(err).To(MatchError(os.ErrDeadlineExceeded))
+		g.Expect(time.Since(start)).To(Equal(100 * time.Millisecond))
+		g.Expect(c.SetReadDeadline(time.Time{})).To(Succeed())
+		_, err = c.Read(buffer)
+		g.Expect(err).To(MatchError(io.EOF))
+		_, err = c.Write([]byte("too late"))
+		g.Expect(err).To(MatchError(syscall.ECONNRESET))
+		g.Expect(l.Close()).To(Succeed())
+		_, err = n.Dial(t.Context(), address)
+		g.Expect(err).To(MatchError(syscall.ECONNREFUSED))
+	})
+}
