--- a/internal/hedge/decide.go
+++ b/internal/hedge/decide.go
@@ -59,7 +59,7 @@
 	ReasonNoTime    Reason = "no_time"   // a second attempt could not complete
 	ReasonSpent     Reason = "spent"     // the part has had its hedge
 	ReasonBudget    Reason = "budget"    // the group's budget is empty
-	ReasonOverload  Reason = "overload"  // the group is overloaded
+	ReasonOverload  Reason = "overload"  // see State.Overload
 	ReasonPermanent Reason = "permanent" // another attempt would fail in the same way
 )
 
@@ -72,7 +72,7 @@
 	Remaining time.Duration // until the part must be back
 	Hedges    int           // hedges made so far
 	Others    int           // targets that were not tried and could take the attempt
-	Overload  bool          // the group's admission queue is not empty
+	Overload  bool          // hedges must wait: searches queue for admission, or retries find no token
 	Unsent    bool          // the attempt to retry never reached a target: not written, or shed by a relay's queue
 }
 
