Run tests in virtual time on one processor under the race detector

Cause: the channel timers of a synctest bubble share bubble.timers.raceCtx. Expired timers outside of the heap are run by maybeRunChan on the thread of whichever goroutine looks at the channel, so several threads use one context of the race detector at once. A program of 600 goroutines that receive from expired timers crashed in 6 of 6 runs on 6 processors, with the same SIGSEGV or "CHECK failed: tsan_rtl.cpp:346", and in 0 of 6 on one processor.

Ruled out: code of this repository (the program above has none), memory (the crash is at address 0), preemption between racegoend and goexit0 (no idle wait reason).

Change: virtualtime.Test runs a bubble and limits the process to one processor meanwhile, if the race detector is on.

--- a/internal/balance/tail_test.go
+++ b/internal/balance/tail_test.go
@@ -10,12 +10,12 @@
 	"slices"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
 
 	"github.com/medlarshunt/medlarshunt/internal/hedge"
+	"github.com/medlarshunt/medlarshunt/internal/standin/virtualtime"
 	"github.com/medlarshunt/medlarshunt/internal/targetqueue"
 )
 
@@ -50,7 +50,7 @@
 
 func (m *model) run(t *testing.T) *model {
 	m.tally = &tally{}
-	synctest.Test(t, func(*testing.T) {
+	virtualtime.Test(t, func(*testing.T) {
 		m.began = time.Now()
 		for i := range m.gates {
 			for j := range m.gates[i] {
--- a/internal/configsync/fakes_test.go
+++ b/internal/configsync/fakes_test.go
@@ -12,7 +12,6 @@
 	"sync"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -23,6 +22,7 @@
 	"github.com/medlarshunt/medlarshunt/internal/config"
 	"github.com/medlarshunt/medlarshunt/internal/membership"
 	"github.com/medlarshunt/medlarshunt/internal/platform"
+	"github.com/medlarshunt/medlarshunt/internal/standin/virtualtime"
 	"github.com/medlarshunt/medlarshunt/internal/statechart"
 )
 
@@ -260,7 +260,7 @@
 
 // runCluster runs fn in virtual time on a cluster of the given size.
 func runCluster(t *testing.T, domains, nodes int, fn func(g *WithT, c *cluster)) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		defer time.Sleep(time.Minute) // lets calls under way end
 		defer cancel()
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -12,6 +11,7 @@
 	"github.com/medlarshunt/medlarshunt/internal/load"
 	"github.com/medlarshunt/medlarshunt/internal/standin/netsim"
 	"github.com/medlarshunt/medlarshunt/internal/standin/targetsim"
+	"github.com/medlarshunt/medlarshunt/internal/standin/virtualtime"
 )
 
 // Guards against a load tool that breaks unseen: each case runs over a small deployment, and no command runs twice.
@@ -19,7 +19,7 @@
 	for _, c := range load.Cases {
 		t.Run(string(c), func(t *testing.T) {
 			t.Parallel()
-			synctest.Test(t, func(t *testing.T) { runCase(t, c) })
+			virtualtime.Test(t, func(t *testing.T) { runCase(t, c) })
 		})
 	}
 }
--- a/internal/membership/loop_test.go
+++ b/internal/membership/loop_test.go
@@ -8,13 +8,14 @@
 	"math/rand/v2"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cespare/xxhash/v2"
 	. "github.com/onsi/gomega"
 	"github.com/sirupsen/logrus"
+
+	"github.com/medlarshunt/medlarshunt/internal/standin/virtualtime"
 )
 
 // network is an in-memory transport with cuts, drops and delays. Whether a message is dropped and how long it takes
@@ -145,7 +146,7 @@
 
 // inBubble runs fn in virtual time and stops all loops at its end.
 func inBubble(t *testing.T, fn func(g *WithT, ctx context.Context)) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		defer time.Sleep(10 * time.Second) // lets exchanges under way end
 		defer cancel()
--- a/internal/node/directory_test.go
+++ b/internal/node/directory_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"testing"
-	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
@@ -10,6 +9,7 @@
 	"github.com/medlarshunt/medlarshunt/internal/entry"
 	"github.com/medlarshunt/medlarshunt/internal/fleet"
 	"github.com/medlarshunt/medlarshunt/internal/membership"
+	"github.com/medlarshunt/medlarshunt/internal/standin/virtualtime"
 	"github.com/medlarshunt/medlarshunt/internal/statechart"
 	"github.com/medlarshunt/medlarshunt/internal/topology"
 )
@@ -32,7 +32,7 @@
 // Guards against legs that keep going to a relay that takes no work: at once in the own failure domain, and after the
 // time for which homes of other failure domains are reused.
 func TestRelaysFollowTheMembership(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		members := fakeMembers{}
 		for _, domain := range members.Domains() {
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -7,13 +7,13 @@
 	"sync"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/creachadair/jrpc2/handler"
 	. "github.com/onsi/gomega"
 
 	"github.com/medlarshunt/medlarshunt/internal/peer"
+	"github.com/medlarshunt/medlarshunt/internal/standin/virtualtime"
 )
 
 // pipeListener connects a pool and a server by net.Pipe, so that both run in virtual time.
@@ -78,7 +78,7 @@
 
 // Guards against a cancelled call that keeps a relay busy: the handler must see the cancellation.
 func TestCancelReachesTheHandler(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		cancelled := make(chan error, 1)
 		r := newRig(handler.Map{"wait": handler.New(func(ctx context.Context) error {
@@ -98,7 +98,7 @@
 // Guards against a search that waits for a paused relay until its deadline, and against giving up a command early: its
 // outcome would be unknown without need.
 func TestSilentPeerFailsOnlyCallsThatMayRunElsewhere(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		l := newPipeListener()
 		pool := peer.NewPool(l.dial)
@@ -129,7 +129,7 @@
 
 // Guards against taking a slow handler for a lost peer: pings are answered while it runs.
 func TestSlowHandlerIsNotSilent(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		r := newRig(handler.Map{"slow": handler.New(func(context.Context) (int, error) {
 			time.Sleep(2 * time.Second)
@@ -144,7 +144,7 @@
 
 // Guards against calling a request not sent once its connection was open: the peer may have run it.
 func TestOnlyAFailedDialProvesNotSent(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		started := make(chan struct{})
 		r := newRig(handler.Map{"run": handler.New(func(ctx context.Context) error {
@@ -164,7 +164,7 @@
 
 // Guards against one connection per call, which would cost each pair of nodes its sockets.
 func TestCallsShareOneConnection(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		r := newRig(handler.Map{"echo": handler.New(func(_ context.Context, n []int) (int, error) {
 			time.Sleep(time.Millisecond)
--- a/internal/published/follower_test.go
+++ b/internal/published/follower_test.go
@@ -6,12 +6,13 @@
 	"io"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	. "github.com/onsi/gomega"
 	"github.com/sirupsen/logrus"
+
+	"github.com/medlarshunt/medlarshunt/internal/standin/virtualtime"
 )
 
 // fakeSource is a store whose answers the test sets. mu guards its fields.
@@ -108,7 +109,7 @@
 
 // Guards against changes that are lost when the store drops its history.
 func TestDroppedHistoryIsReadAgain(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		source := &fakeSource{listing: Listing{Updates: []Update{put(1, "a")}, AsOf: 1}, asOf: 1}
 		f := follow(t, source, nil)
@@ -127,7 +128,7 @@
 
 // Guards against a watch whose connection has gone silent for good: a change must be in force within 3 s all the same.
 func TestSilentWatchIsGivenUpInTime(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		source := &fakeSource{listing: Listing{Updates: []Update{put(1, "a")}, AsOf: 1}, asOf: 1}
 		f := follow(t, source, nil)
@@ -144,7 +145,7 @@
 
 // Guards against a node that loses its targets, or its configuration, while the store is down.
 func TestStateSurvivesAnOutage(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		source := &fakeSource{listing: Listing{Updates: []Update{put(1, "a"), {Revision: 2, Configuration: version(4)}}, AsOf: 2}, asOf: 2}
 		f := follow(t, source, nil)
@@ -174,7 +175,7 @@
 
 // Guards against a node that the store turns away and that does not learn from its peers.
 func TestPeersAreAskedWhenTheStoreTurnsTheNodeAway(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		s := filled("a")
 		s.merge([]Update{{Revision: 5, Configuration: version(2)}}, 5, time.Now())
@@ -227,7 +228,7 @@
 		"turned away": func(_ *readerPeers, s *fakeSource) { s.set(func(s *fakeSource) { s.err = errors.New("turned away") }) },
 	} {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			virtualtime.Test(t, func(t *testing.T) {
 				g := NewWithT(t)
 				ofReader := &fakeSource{listing: Listing{Updates: []Update{put(1, "a")}, AsOf: 1}, asOf: 1}
 				own := &fakeSource{listing: ofReader.listing, asOf: 1}
--- a/internal/relay/leaving_test.go
+++ b/internal/relay/leaving_test.go
@@ -2,20 +2,20 @@
 
 import (
 	"testing"
-	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
 
 	"github.com/medlarshunt/medlarshunt/internal/api"
 	"github.com/medlarshunt/medlarshunt/internal/peer"
+	"github.com/medlarshunt/medlarshunt/internal/standin/virtualtime"
 	"github.com/medlarshunt/medlarshunt/internal/target"
 )
 
 // Guards against new work at a leaving target that a home relay of another failure domain asks for because the mark has
 // not reached it yet, for example after a cut between the failure domains.
 func TestForeignAttemptOnLeavingTargetIsNotRun(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		r := newRig(t, 4, nil)
 		defer r.close()
 		r.warm()
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -13,6 +13,7 @@
 	"github.com/medlarshunt/medlarshunt/internal/api"
 	"github.com/medlarshunt/medlarshunt/internal/config"
 	"github.com/medlarshunt/medlarshunt/internal/peer"
+	"github.com/medlarshunt/medlarshunt/internal/standin/virtualtime"
 	"github.com/medlarshunt/medlarshunt/internal/statechart"
 	"github.com/medlarshunt/medlarshunt/internal/target"
 )
@@ -36,7 +37,7 @@
 func TestOneBadTargetCostsNoCoverage(t *testing.T) {
 	for _, tc := range survivable {
 		t.Run(tc.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			virtualtime.Test(t, func(t *testing.T) {
 				r := newRig(t, 4, nil)
 				defer r.close()
 				r.targets["records-01-north"].set(func(f *fakeTarget) { f.fail = &tc.fail })
@@ -53,7 +54,7 @@
 
 // Guards against hits of two index versions in one answer.
 func TestReplyOfAnotherVersionIsNeverMerged(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		r := newRig(t, 4, nil)
 		defer r.close()
 		for _, domain := range []string{"north", "east", "south"} {
@@ -67,7 +68,7 @@
 
 // Guards against a straggler that decides when the answer arrives, and against losers that keep their slots.
 func TestStragglerIsHedgedAndCancelled(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		// Searches that come one after another hedge about as often as the default budget allows, which may be empty then.
 		r := newRig(t, 4, func(g *config.Group) { g.RetryBudget = 0.2 })
 		defer r.close()
@@ -91,7 +92,7 @@
 
 // Guards against waiting for the deadline when no target of a service can be reached.
 func TestLostServiceIsStatedAtOnce(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		r := newRig(t, 4, func(g *config.Group) { g.Policy = config.LatencyFirst })
 		defer r.close()
 		for _, domain := range []string{"north", "east", "south"} {
@@ -108,7 +109,7 @@
 
 // Guards against new work on a target that leaves.
 func TestLeavingTargetGetsNoNewWork(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		r := newRig(t, 2, nil)
 		defer r.close()
 		r.warm()
@@ -143,7 +144,7 @@
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			virtualtime.Test(t, func(t *testing.T) {
 				r := newRig(t, 1, nil)
 				defer r.close()
 				if tc.fail != nil {
@@ -158,7 +159,7 @@
 
 // Guards against a command that is refused although there is time left and its targets were only busy for a moment.
 func TestCommandGoesRoundBusyTargetsAgain(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		r := newRig(t, 1, nil)
 		defer r.close()
 		for _, f := range r.targets {
@@ -177,7 +178,7 @@
 // Guards against a command that is written after its caller has been told that its time is over: it waited in the
 // socket of a paused process.
 func TestCommandThatWaitedTooLongIsNotWritten(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		r := newRig(t, 1, nil)
 		defer r.close()
 		req := peer.CommandRequest{Command: api.Command{RequestID: "c", Group: "records", Body: []byte(`"book"`)}, Service: "records-00"}
@@ -193,7 +194,7 @@
 // Guards against a request that crashes one target per service and comes again: the canary meets it first, then it
 // runs alone, then it is refused. Calls of other requests that were cancelled a moment before do not run beside it.
 func TestPoisonRequestCostsAtMostTwoTargets(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		r := newRig(t, 6, nil)
 		defer r.close()
 		r.warm()
@@ -218,7 +219,7 @@
 
 // Guards against a known mark that is lost when the target leaves the configuration and comes back in it.
 func TestMarkOutlivesTheConfiguration(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		r := newRig(t, 2, nil)
 		defer r.close()
 		const marked = "records-01-north"
@@ -241,7 +242,7 @@
 // Guards against charts that only decorate the code: an attempt follows its chart without a rejected event, and a
 // target's chart agrees with what the target choice has concluded.
 func TestChartsAreFollowed(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		r := newRig(t, 2, nil)
 		defer r.close()
 		r.warm()
--- a/internal/relay/tail_test.go
+++ b/internal/relay/tail_test.go
@@ -10,7 +10,6 @@
 	"slices"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -24,6 +23,7 @@
 	"github.com/medlarshunt/medlarshunt/internal/peer"
 	"github.com/medlarshunt/medlarshunt/internal/quarantine"
 	"github.com/medlarshunt/medlarshunt/internal/relay"
+	"github.com/medlarshunt/medlarshunt/internal/standin/virtualtime"
 	"github.com/medlarshunt/medlarshunt/internal/statechart"
 	"github.com/medlarshunt/medlarshunt/internal/target"
 	"github.com/medlarshunt/medlarshunt/internal/telemetry"
@@ -265,7 +265,7 @@
 	for _, fault := range faults {
 		run := tailRun{services: 10, policy: policy, canary: config.CanaryAfterCrash, baseline: baseline, share: tailShare,
 			timeout: 500 * time.Millisecond, median: 10 * time.Millisecond, searches: 3000, induce: fault.induce}
-		synctest.Test(t, func(t *testing.T) { figures[fault.name] = run.measure(t) })
+		virtualtime.Test(t, func(t *testing.T) { figures[fault.name] = run.measure(t) })
 		t.Logf("%s baseline=%t %s: %s", policy, baseline, fault.name, figures[fault.name])
 	}
 	return figures
@@ -305,7 +305,7 @@
 	for i, share := range []float64{1, 1.5} {
 		run := tailRun{services: 10, policy: config.CoverageFirst, canary: config.CanaryAfterCrash, share: share,
 			timeout: 500 * time.Millisecond, median: 10 * time.Millisecond, searches: 3000}
-		synctest.Test(t, func(t *testing.T) { figures[i] = run.measure(t) })
+		virtualtime.Test(t, func(t *testing.T) { figures[i] = run.measure(t) })
 		t.Logf("share %.2f: %s", share, figures[i])
 	}
 	goodput := func(f tailFigures) float64 { return float64(f.inTime) / f.seconds }
--- a/internal/standin/netsim/memory_test.go
+++ b/internal/standin/netsim/memory_test.go
@@ -5,18 +5,18 @@
 	"os"
 	"syscall"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
 
 	"github.com/medlarshunt/medlarshunt/internal/standin/netsim"
+	"github.com/medlarshunt/medlarshunt/internal/standin/virtualtime"
 )
 
 // Guards against connections in memory that end otherwise than those of TCP do: what was written arrives before the end, a
 // deadline ends a read, a port without a listener refuses, and a write to an end that is gone is reset.
 func TestConnectionsInMemory(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		n := netsim.NewInMemory(time.Millisecond, 0, 1)
 		l, err := n.Listen("127.0.0.1:0")
--- /dev/null
+++ b/internal/standin/virtualtime/race.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package virtualtime
+
+const raceEnabled = true
--- a/internal/targetqueue/queue_test.go
+++ b/internal/targetqueue/queue_test.go
@@ -13,6 +13,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/medlarshunt/medlarshunt/internal/standin/virtualtime"
 	"github.com/medlarshunt/medlarshunt/internal/targetqueue"
 )
 
@@ -113,7 +114,7 @@
 
 // Guards against a waiter that is never woken, and a slot lost to a waiter that has given up.
 func TestGate(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		gate := targetqueue.NewGate(1, time.Now)
 		request := func(d time.Duration) targetqueue.Request {
@@ -158,7 +159,7 @@
 
 // Guards against a slot that leaks when a grant and a cancellation cross, in any interleaving.
 func TestGateCrossedCancel(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		gate := targetqueue.NewGate(2, time.Now)
 		for i := range 200 {
@@ -181,7 +182,7 @@
 
 // Guards against calls that stay blocked behind a reservation whose owner gave up.
 func TestGateCancelledReservation(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		gate := targetqueue.NewGate(2, time.Now)
 		request := targetqueue.Request{Deadline: time.Now().Add(time.Hour)}
--- a/internal/telemetry/bounded_test.go
+++ b/internal/telemetry/bounded_test.go
@@ -5,11 +5,12 @@
 	"strings"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	. "github.com/onsi/gomega"
+
+	"github.com/medlarshunt/medlarshunt/internal/standin/virtualtime"
 )
 
 // stuck is an output that accepts nothing.
@@ -34,7 +35,7 @@
 
 // Guards against a flood of lines: the rate holds, warnings are written all the same, and one line counts what is missing.
 func TestRateOfLinesIsBounded(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		var text bytes.Buffer
 		b := NewBoundedOutput(&text, 10, metrics.NewSet())
--- a/test/failure/harness_test.go
+++ b/test/failure/harness_test.go
@@ -15,7 +15,6 @@
 	"strconv"
 	"strings"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -27,6 +26,7 @@
 	"github.com/medlarshunt/medlarshunt/internal/fleet"
 	"github.com/medlarshunt/medlarshunt/internal/standin/netsim"
 	"github.com/medlarshunt/medlarshunt/internal/standin/targetsim"
+	"github.com/medlarshunt/medlarshunt/internal/standin/virtualtime"
 	"github.com/medlarshunt/medlarshunt/test/check"
 )
 
@@ -74,7 +74,7 @@
 	t.Parallel()
 	running <- struct{}{}
 	defer func() { <-running }()
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		t.Cleanup(func() { time.Sleep(settled) }) // ends dials and pauses that nobody waits for
 		test(start(t, nodesPerDomain))
 	})
