Decide on attempts in one loop for both interfaces

Cause: internal/relay and internal/query each had a loop of their own that made the first attempt, hedged, retried and gave up, over the same decision packages. They differed in details that had no reason: the relay retried a failed attempt beside its hedge and lost the token of a hedge that was never sent; only the platform path left tokens to retries that found none.

Change: attempts.Run is the one loop. A Caller chooses targets, makes the calls and classifies results; limits say how often. hedge.ShouldRetry decides for both. Kept apart by settings: the relay goes through refusing targets in rounds without budget, the platform path repeats from the budget, because the platform counts refused arrivals.

New in the relay: no retry while the hedge may still answer; the token of an unsent hedge returns; hedges wait for a second after a retry found no token.

--- a/internal/balance/tail_test.go
+++ b/internal/balance/tail_test.go
@@ -149,7 +149,7 @@
 			if !p.hedge {
 				continue
 			}
-			switch hedge.ShouldHedge(state, p.relay.budget) {
+			switch hedge.ShouldHedge(state, p.relay.budget, time.Now()) {
 			case hedge.ReasonGo:
 				p.count(&p.extra, counted)
 				p.attempt(ctx)
--- a/internal/hedge/budget.go
+++ b/internal/hedge/budget.go
@@ -65,10 +65,8 @@
 	b.tokens = min(b.tokens+b.deposit, b.limit)
 }
 
-// Withdraw takes one token for a hedge or a retry. It reports false when the budget is empty or closed.
-func (b *Budget) Withdraw() bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
+// withdraw takes one token. It reports false when the budget is empty or closed. The caller holds mu.
+func (b *Budget) withdraw() bool {
 	if b.closed || b.tokens < tokenUnit {
 		return false
 	}
@@ -76,26 +74,26 @@
 	return true
 }
 
-// WithdrawRetry takes one token for a retry. While retries find none, Starved reports it.
-func (b *Budget) WithdrawRetry(now time.Time) bool {
-	if b.Withdraw() {
-		return true
-	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.starved = now
-	return false
-}
-
 // starvedFor is the time after a retry without a token in which hedges leave the tokens to retries. Tokens for a few
 // retries come in within it at the usual rates of requests.
 const starvedFor = time.Second
 
-// Starved reports whether retries need the tokens: a retry replaces a lost part, a hedge only a late one.
-func (b *Budget) Starved(now time.Time) bool {
+// WithdrawHedge takes one token for a hedge. It reports false when the budget is empty, closed, or left to retries.
+func (b *Budget) WithdrawHedge(now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return now.Sub(b.starved) >= starvedFor && b.withdraw()
+}
+
+// WithdrawRetry takes one token for a retry. It reports false when the budget is empty or closed.
+func (b *Budget) WithdrawRetry(now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return now.Sub(b.starved) < starvedFor
+	if b.withdraw() {
+		return true
+	}
+	b.starved = now
+	return false
 }
 
 // Refund returns the token of an extra attempt that was never sent.
--- a/internal/hedge/decide.go
+++ b/internal/hedge/decide.go
@@ -58,9 +58,10 @@
 	ReasonNoTarget  Reason = "no_target" // no other target can take the attempt
 	ReasonNoTime    Reason = "no_time"   // a second attempt could not complete
 	ReasonSpent     Reason = "spent"     // the part has had its hedge
-	ReasonBudget    Reason = "budget"    // the group's budget is empty
-	ReasonOverload  Reason = "overload"  // see State.Overload
+	ReasonBudget    Reason = "budget"    // the budget is empty, or left to retries
+	ReasonOverload  Reason = "overload"  // searches queue for admission
 	ReasonPermanent Reason = "permanent" // another attempt would fail in the same way
+	ReasonUnderWay  Reason = "under_way" // another attempt of the part may still answer
 )
 
 // State is what is known about a part when a second attempt is considered.
@@ -72,14 +73,17 @@
 	Remaining time.Duration // until the part must be back
 	Hedges    int           // hedges made so far
 	Others    int           // targets that were not tried and could take the attempt
-	Overload  bool          // hedges must wait: searches queue for admission, or retries find no token
-	Unsent    bool          // the attempt to retry never reached a target: not written, or shed by a relay's queue
+	Overload  bool          // searches queue for admission: hedges and retries wait
+	UnderWay  int           // attempts that have not ended
+	Unsent    bool          // the attempt to retry left no work behind: not written, or shed by a relay's queue
+	Refused   bool          // the target of the attempt to retry refused for now and may take it again
 }
 
 // ShouldHedge decides on a hedge and, when it decides for it, withdraws from the budget. On ReasonBudget, ask again
 // after another Delay: the demand of a p95 delay is about the whole budget, so a frozen target's call that asks only
-// once can stay without a hedge.
-func ShouldHedge(s State, b *Budget) Reason {
+// once can stay without a hedge. While retries find no token, hedges leave the tokens to them: a retry replaces a lost
+// part, a hedge only a late one.
+func ShouldHedge(s State, b *Budget, now time.Time) Reason {
 	switch {
 	case s.Answered:
 		return ReasonAnswered
@@ -89,14 +93,23 @@
 		return ReasonSpent
 	case s.Elapsed < s.Delay:
 		return ReasonTooEarly
+	case s.Overload:
+		return ReasonOverload
+	case s.Others <= 0:
+		return ReasonNoTarget
+	case s.Remaining < api.MinAttemptBudget:
+		return ReasonNoTime
+	case !b.WithdrawHedge(now):
+		return ReasonBudget
 	}
-	return secondAttempt(s, false, b)
+	return ReasonGo
 }
 
 // ShouldRetry decides on another attempt after one failed, and withdraws from the budget for it. It ignores Delay and
 // Hedges. Retriable is false for failures that another target would repeat. A retry of an unsent attempt is the first
-// load that a target sees of it, so it costs no budget and is made under overload too.
-func ShouldRetry(s State, retriable bool, b *Budget) Reason {
+// load that a target sees of it, so it costs no budget, is made under overload too, and may go to a target that is no
+// good choice otherwise. A failed attempt is not retried while another one may still answer.
+func ShouldRetry(s State, retriable bool, b *Budget, now time.Time) Reason {
 	switch {
 	case s.Answered:
 		return ReasonAnswered
@@ -104,19 +117,17 @@
 		return ReasonIsolated
 	case !retriable:
 		return ReasonPermanent
-	}
-	return secondAttempt(s, s.Unsent, b)
-}
-
-func secondAttempt(s State, free bool, b *Budget) Reason {
-	switch {
-	case s.Overload && !free:
+	case s.Remaining < api.MinAttemptBudget:
+		return ReasonNoTime
+	case s.Unsent:
+		return ReasonGo
+	case s.UnderWay > 0 && !s.Refused:
+		return ReasonUnderWay
+	case s.Overload:
 		return ReasonOverload
 	case s.Others <= 0:
 		return ReasonNoTarget
-	case s.Remaining < api.MinAttemptBudget:
-		return ReasonNoTime
-	case !free && !b.Withdraw():
+	case !b.WithdrawRetry(now):
 		return ReasonBudget
 	}
 	return ReasonGo
--- a/internal/hedge/hedge_test.go
+++ b/internal/hedge/hedge_test.go
@@ -111,7 +111,7 @@
 	s := hedge.State{Elapsed: ms(11), Delay: ms(10), Remaining: ms(30), Others: 1}
 	change(&s)
 	b := hedge.NewBudget(0.05, 1)
-	Expect(hedge.ShouldHedge(s, b)).To(Equal(want))
+	Expect(hedge.ShouldHedge(s, b, start)).To(Equal(want))
 	Expect(b.Available()).To(Equal(map[bool]int{true: 0, false: 1}[want == hedge.ReasonGo]))
 },
 	Entry("go", func(*hedge.State) {}, hedge.ReasonGo),
@@ -129,7 +129,7 @@
 var _ = DescribeTable("ShouldRetry", func(s hedge.State, retriable bool, want hedge.Reason, left int) {
 	b := hedge.NewBudget(0.05, 1)
 	s.Remaining, s.Others = ms(30), 1
-	Expect(hedge.ShouldRetry(s, retriable, b)).To(Equal(want))
+	Expect(hedge.ShouldRetry(s, retriable, b, start)).To(Equal(want))
 	Expect(b.Available()).To(Equal(left))
 },
 	Entry("draws on the budget", hedge.State{}, true, hedge.ReasonGo, 0),
@@ -137,6 +137,9 @@
 	Entry("isolated", hedge.State{Isolated: true, Unsent: true}, true, hedge.ReasonIsolated, 1),
 	Entry("permanent", hedge.State{}, false, hedge.ReasonPermanent, 1),
 	Entry("overload", hedge.State{Overload: true}, true, hedge.ReasonOverload, 1),
+	Entry("another attempt may still answer", hedge.State{UnderWay: 1}, true, hedge.ReasonUnderWay, 1),
+	Entry("unsent beside another attempt", hedge.State{UnderWay: 1, Unsent: true}, true, hedge.ReasonGo, 1),
+	Entry("refused beside another attempt", hedge.State{UnderWay: 1, Refused: true}, true, hedge.ReasonGo, 0),
 )
 
 var _ = Describe("Budget", func() {
@@ -151,7 +154,7 @@
 			if quiet || rnd.Float64() < 0.5 {
 				b.Primary()
 				p++
-			} else if b.Withdraw() {
+			} else if b.WithdrawHedge(start) {
 				x++
 			}
 			primary, extra = append(primary, p), append(extra, x)
@@ -168,9 +171,9 @@
 	It("gives nothing while overloaded", func() {
 		b := hedge.NewBudget(0, 0)
 		b.SetOverloaded(true)
-		Expect(b.Withdraw()).To(BeFalse())
+		Expect(b.WithdrawHedge(start)).To(BeFalse())
 		b.SetOverloaded(false)
-		Expect(b.Withdraw()).To(BeTrue())
+		Expect(b.WithdrawHedge(start)).To(BeTrue())
 	})
 })
 
@@ -209,12 +212,15 @@
 	g := NewWithT(t)
 	start := time.Unix(1000, 0)
 	b := hedge.NewEmptyBudget(0.5, 2)
-	g.Expect(b.Starved(start)).To(BeFalse(), "nothing was asked for yet")
+	b.Fill()
+	state := hedge.State{Others: 1, Remaining: time.Second}
+	g.Expect(hedge.ShouldHedge(state, b, start)).To(Equal(hedge.ReasonGo), "nothing was asked for yet")
+	g.Expect(b.WithdrawRetry(start)).To(BeTrue())
 	g.Expect(b.WithdrawRetry(start)).To(BeFalse())
-	g.Expect(b.Starved(start)).To(BeTrue())
-	g.Expect(b.Starved(start.Add(time.Minute))).To(BeFalse())
 	b.Fill()
-	state := hedge.State{Others: 1, Remaining: time.Second, Overload: b.Starved(start)}
-	g.Expect(hedge.ShouldHedge(state, b)).To(Equal(hedge.ReasonOverload))
+	g.Expect(hedge.ShouldHedge(state, b, start)).To(Equal(hedge.ReasonBudget))
+	g.Expect(b.WithdrawRetry(start)).To(BeTrue())
 	g.Expect(b.WithdrawRetry(start)).To(BeTrue(), "the hedge has left the token")
+	b.Fill()
+	g.Expect(hedge.ShouldHedge(state, b, start.Add(time.Minute))).To(Equal(hedge.ReasonGo), "retries want none any more")
 }
--- a/internal/hedge/worthwait_test.go
+++ b/internal/hedge/worthwait_test.go
@@ -44,7 +44,7 @@
 func TestEmptyBudgetHoldsNoMoreThanItsBurst(t *testing.T) {
 	g := NewWithT(t)
 	b := NewEmptyBudget(0.2, 3)
-	g.Expect(b.Withdraw()).To(BeFalse())
+	g.Expect(b.WithdrawHedge(time.Unix(1000, 0))).To(BeFalse())
 	for range 100 {
 		b.Primary()
 	}
--- a/internal/query/attempt.go
+++ b/internal/query/attempt.go
@@ -29,18 +29,8 @@
 	failureCancelled   failure = "cancelled"   // not needed any more, or out of time
 )
 
-// attemptKind says why an attempt is made.
-type attemptKind string
-
-const (
-	attemptFirst attemptKind = "first"
-	attemptHedge attemptKind = "hedge"
-	attemptRetry attemptKind = "retry"
-)
-
 // attemptResult is the end of one attempt.
 type attemptResult struct {
-	kind    attemptKind
 	target  string
 	reply   *Reply // set when the target answered
 	failure failure
@@ -59,10 +49,10 @@
 const youngIdle = 500 * time.Millisecond
 
 // attempt runs one call on the chosen target.
-func (w *work) attempt(ctx context.Context, choice balance.Choice, kind attemptKind, fresh bool) attemptResult {
+func (w *work) attempt(ctx context.Context, choice balance.Choice, fresh bool) attemptResult {
 	e := w.engine
 	started := time.Now()
-	res := attemptResult{kind: kind, target: choice.Target.ID}
+	res := attemptResult{target: choice.Target.ID}
 	life := e.deps.Charts.Attempt.NewMachine()
 	e.fire(life, statechart.AttemptEnqueue)
 	if client := e.client(choice.Target.ID); client == nil {
--- a/internal/query/metrics.go
+++ b/internal/query/metrics.go
@@ -4,12 +4,14 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/medlarshunt/medlarshunt/internal/attempts"
 )
 
 // counters are the metrics of an engine.
 type counters struct {
 	set      *metrics.Set
-	attempts map[attemptKind]*metrics.Counter
+	attempts map[attempts.Kind]*metrics.Counter
 	latency  *metrics.Histogram
 	parts    *metrics.Histogram
 	missing  *metrics.Counter
@@ -18,13 +20,13 @@
 
 func newCounters(set *metrics.Set) *counters {
 	c := &counters{
-		set: set, attempts: map[attemptKind]*metrics.Counter{},
+		set: set, attempts: map[attempts.Kind]*metrics.Counter{},
 		latency: set.GetOrCreateHistogram("medlarshunt_request_seconds"),
 		parts:   set.GetOrCreateHistogram("medlarshunt_attempt_seconds"),
 		missing: set.GetOrCreateCounter("medlarshunt_missing_parts_total"),
 		skipped: set.GetOrCreateCounter("medlarshunt_hedges_without_budget_total"),
 	}
-	for _, k := range []attemptKind{attemptFirst, attemptHedge, attemptRetry} {
+	for _, k := range []attempts.Kind{attempts.First, attempts.Hedge, attempts.Retry} {
 		c.attempts[k] = set.GetOrCreateCounter(`medlarshunt_attempts_total{kind="` + string(k) + `"}`)
 	}
 	return c
--- a/internal/query/work.go
+++ b/internal/query/work.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/medlarshunt/medlarshunt/internal/attempts"
 	"github.com/medlarshunt/medlarshunt/internal/balance"
 	"github.com/medlarshunt/medlarshunt/internal/hedge"
 	"github.com/medlarshunt/medlarshunt/internal/quarantine"
@@ -19,16 +20,12 @@
 	minHedgeDelay = 8 * time.Millisecond
 	// firstHedgeShare is the share of the goal after which an attempt is hedged before latencies are known.
 	firstHedgeShare = 5
-	// budgetPause is the pause before a hedge without budget is tried again.
-	budgetPause = 10 * time.Millisecond
-	// maxFreeAttempts bounds attempts that end before anything is written.
-	maxFreeAttempts = 6
-	// maxRefusals bounds the attempts of one request that targets refuse to run.
-	maxRefusals = 4
-	// minAttempt is the least time in which an attempt can bring an answer.
-	minAttempt = 3 * time.Millisecond
 )
 
+// attemptLimits bound the attempts of one request on one service. Refused attempts count as load on this platform, so there
+// are no rounds without budget.
+var attemptLimits = attempts.Limits{Unsent: 6, Refused: 4, HedgePause: 10 * time.Millisecond}
+
 // work is one request on one service: its attempts until one has answered.
 type work struct {
 	engine   *Engine
@@ -42,14 +39,9 @@
 	deadline time.Time
 
 	// The fields below belong to the goroutine of run.
-	results  chan attemptResult
-	open     int
-	sent     []string // targets that the request was or may have been written to
-	avoid    []string // targets that are not tried again
-	hedges   int
-	unsent   int
-	refusals int
-	notes    workNotes
+	sent  []string // targets that the request was or may have been written to
+	avoid []string // targets that are not tried again
+	notes workNotes
 }
 
 // workNotes is what the log line of the request says about a part.
@@ -60,6 +52,18 @@
 	tried    []string // targets in the order of the attempts
 }
 
+func (n *workNotes) add(l attempts.Launch, target string) {
+	n.attempts++
+	n.tried = append(n.tried, target)
+	switch {
+	case l.Replaces:
+	case l.Kind == attempts.Hedge:
+		n.hedges++
+	case l.Kind == attempts.Retry:
+		n.retries++
+	}
+}
+
 // run runs the request on the service and returns the result with what the log says about it.
 func (w *work) run(ctx context.Context) workResult {
 	res := w.attempts(ctx)
@@ -74,38 +78,28 @@
 	took    time.Duration
 }
 
-// attempts makes attempts until one is served, none can help any more, or ctx ends. The result is that of the served
-// attempt, or the last one. It returns a failureCancelled result when ctx ended.
+// attempts runs the request on the service. The result is that of the served attempt, or the last one; a
+// failureCancelled result when ctx ended.
 func (w *work) attempts(ctx context.Context) attemptResult {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel() // ends the losers' work at their targets
-	w.results = make(chan attemptResult, maxFreeAttempts+maxRefusals+w.route.Attempts+2)
-	if !w.launch(ctx, attemptFirst, false) {
+	end := attempts.Run[attemptResult](ctx, w, w.service.budget, attemptLimits)
+	switch {
+	case end.NoTarget:
 		return attemptResult{failure: failureUnreachable, notRun: true}
+	case end.Cancelled:
+		return attemptResult{failure: failureCancelled, notRun: end.NotRun, err: context.Cause(ctx)}
 	}
-	w.service.budget.Primary()
-	timer := time.NewTimer(time.Hour)
-	defer timer.Stop()
-	w.armHedge(timer)
-	proved := true // every ended attempt is proved not to have run
-	for {
-		select {
-		case <-ctx.Done():
-			return attemptResult{failure: failureCancelled, notRun: proved && w.open == 0, err: context.Cause(ctx)}
-		case <-timer.C:
-			w.hedge(ctx, timer)
-		case res := <-w.results:
-			w.open--
-			proved = proved && res.notRun
-			w.learn(res)
-			if res.served() || !w.mayRepeat(res) {
-				return res
-			}
-			if !w.retry(ctx, res) && w.open == 0 {
-				res.notRun = proved
-				return res
-			}
-		}
+	end.Result.notRun = end.NotRun
+	return end.Result
+}
+
+// Ended implements attempts.Caller.
+func (w *work) Ended(res attemptResult) attempts.Next {
+	w.learn(res)
+	if !res.written || res.failure == failureMisplaced {
+		w.forget(res.target)
+	}
+	return attempts.Next{
+		Final: res.served() || !w.mayRepeat(res), Unsent: !res.written, Again: res.failure == failureShed, NotRun: res.notRun,
 	}
 }
 
@@ -129,9 +123,9 @@
 	return res.failure != failureError || res.reply.Status >= 500
 }
 
-// launch starts an attempt and reports whether there is a target for it.
-func (w *work) launch(ctx context.Context, kind attemptKind, again bool) bool {
-	choice, fresh, ok := w.pick(again)
+// Launch implements attempts.Caller.
+func (w *work) Launch(ctx context.Context, l attempts.Launch, ended func(attemptResult)) bool {
+	choice, fresh, ok := w.pick(l.Again)
 	if !ok {
 		return false
 	}
@@ -139,11 +133,9 @@
 	if !slices.Contains(w.sent, id) {
 		w.sent = append(w.sent, id)
 	}
-	w.open++
-	w.notes.attempts++
-	w.notes.tried = append(w.notes.tried, id)
-	w.engine.m.attempts[kind].Inc()
-	go func() { w.results <- w.attempt(ctx, choice, kind, fresh) }()
+	w.notes.add(l, id)
+	w.engine.m.attempts[l.Kind].Inc()
+	go func() { ended(w.attempt(ctx, choice, fresh)) }()
 	return true
 }
 
@@ -168,12 +160,12 @@
 	return choice, true, ok
 }
 
-// armHedge sets the timer to the next hedge, if one could still help.
-func (w *work) armHedge(timer *time.Timer) {
-	if w.route.Kind != routing.Idempotent || w.hedges >= hedge.MaxHedges || len(w.sent) >= w.route.Attempts {
-		return
+// HedgeDelay implements attempts.Caller.
+func (w *work) HedgeDelay() (time.Duration, bool) {
+	if w.route.Kind != routing.Idempotent || len(w.sent) >= w.route.Attempts {
+		return 0, false
 	}
-	timer.Reset(w.hedgeDelay())
+	return w.hedgeDelay(), true
 }
 
 // hedgeDelay is the time after which the youngest attempt is hedged: the quantile of the route's latencies and the hop to
@@ -194,26 +186,20 @@
 	return max(minHedgeDelay, min(delay, left-second))
 }
 
-// hedge starts a second attempt while the first is under way.
-func (w *work) hedge(ctx context.Context, timer *time.Timer) {
-	state := hedge.State{
-		Elapsed: time.Since(w.start), Remaining: time.Until(w.deadline), Hedges: w.hedges, Others: w.others(),
-		Overload: w.service.budget.Starved(time.Now()),
-	}
-	switch hedge.ShouldHedge(state, w.service.budget) {
-	case hedge.ReasonGo:
-		if w.launch(ctx, attemptHedge, false) {
-			w.hedges++
-			w.notes.hedges++
-			return
-		}
-		w.service.budget.Refund()
-	case hedge.ReasonBudget, hedge.ReasonOverload:
-		w.engine.m.skipped.Inc()
-		timer.Reset(budgetPause)
+// State implements attempts.Caller.
+func (w *work) State(kind attempts.Kind) hedge.State {
+	state := hedge.State{Elapsed: time.Since(w.start), Remaining: time.Until(w.deadline)}
+	if kind == attempts.Retry {
+		state.Others = 1 // any target is better than none: Launch finds out whether there is one
+	} else {
+		state.Others = w.others()
 	}
+	return state
 }
 
+// NoBudget implements attempts.Caller.
+func (w *work) NoBudget() { w.engine.m.skipped.Inc() }
+
 // others counts the targets that another attempt could use.
 func (w *work) others() int {
 	if len(w.sent) >= w.route.Attempts {
@@ -222,62 +208,6 @@
 	return w.service.picker.Others(balance.Request{Tried: append(slices.Clone(w.sent), w.avoid...)}, time.Now())
 }
 
-// retry starts another attempt after a failed one, and reports whether it did.
-func (w *work) retry(ctx context.Context, res attemptResult) bool {
-	if ctx.Err() != nil || time.Until(w.deadline) < minAttempt {
-		return false
-	}
-	free := !res.written
-	if free {
-		return w.retryUnsent(ctx, res)
-	}
-	again := false
-	if res.failure == failureShed {
-		if w.refusals++; w.refusals > maxRefusals {
-			return false
-		}
-		again = true
-	}
-	if res.failure == failureMisplaced {
-		w.forget(res.target)
-	}
-	if w.open > 0 && !again {
-		return false // a hedge is under way already
-	}
-	if !w.service.budget.WithdrawRetry(time.Now()) {
-		w.engine.m.skipped.Inc()
-		return false
-	}
-	if !w.launch(ctx, attemptRetry, again) {
-		w.service.budget.Refund()
-		return false
-	}
-	w.notes.retries++
-	return true
-}
-
-// retryUnsent tries another target after an attempt that wrote nothing. It adds no load, so it needs no budget: the next
-// attempt is the first that a target sees in its place. A hedge that was never written gives its token back.
-func (w *work) retryUnsent(ctx context.Context, res attemptResult) bool {
-	if res.kind != attemptFirst {
-		w.service.budget.Refund()
-	}
-	if w.unsent++; w.unsent > maxFreeAttempts {
-		return false
-	}
-	w.forget(res.target)
-	if res.kind != attemptFirst && !w.service.budget.Withdraw() {
-		return false
-	}
-	if w.launch(ctx, res.kind, false) {
-		return true
-	}
-	if res.kind != attemptFirst {
-		w.service.budget.Refund()
-	}
-	return false
-}
-
 // forget takes a target off the list of those that the request was sent to, and avoids it.
 func (w *work) forget(id string) {
 	w.sent = slices.DeleteFunc(w.sent, func(have string) bool { return have == id })
--- a/internal/relay/part.go
+++ b/internal/relay/part.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/medlarshunt/medlarshunt/internal/api"
-	"github.com/medlarshunt/medlarshunt/internal/balance"
+	"github.com/medlarshunt/medlarshunt/internal/attempts"
 	"github.com/medlarshunt/medlarshunt/internal/coverage"
 	"github.com/medlarshunt/medlarshunt/internal/hedge"
 	"github.com/medlarshunt/medlarshunt/internal/peer"
@@ -127,53 +127,27 @@
 // verdictPoll is the time between two looks at the verdict on a suspect request.
 const verdictPoll = 5 * time.Millisecond
 
-// attempts is the state of the loop that runs a part.
-type attempts struct {
-	tried   []string
-	hedges  int
-	open    int
-	round   int
-	probe   bool // the youngest attempt probes a target that was ejected
-	results chan attemptResult
-	last    attemptResult
-}
-
 // runAttempts runs the part as usual. It reports true when the request became suspect meanwhile and nothing of the part
 // is in flight any more.
 func (p *part) runAttempts(ctx context.Context) (suspect bool) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel() // the losers' streams are reset and their slots freed
-	a := &attempts{results: make(chan attemptResult, maxRounds*len(p.service.targets))}
-	p.leg.group.budget.Primary()
-	p.leg.relay.m.primaries.Inc()
-	if !p.launch(ctx, a) {
+	targets := len(p.service.targets)
+	end := attempts.Run[attemptResult](ctx, &partRun{part: p}, p.leg.group.budget, attempts.Limits{
+		Unsent: maxRounds * targets, Rounds: maxRounds - 1, RoundPause: roundPause,
+	})
+	switch res := end.Result; {
+	case end.Cancelled:
+		return false
+	case end.NoTarget:
 		p.finish(api.Part{Reason: p.unreachableReason()})
 		return false
-	}
-	timer := time.NewTimer(time.Hour)
-	defer timer.Stop()
-	p.armHedge(timer, a)
-	for {
-		select {
-		case <-ctx.Done():
-			return false
-		case <-timer.C:
-			p.hedge(ctx, timer, a)
-		case res := <-a.results:
-			a.open--
-			if res.answered() {
-				p.finish(res.part)
-				return false
-			}
-			a.last = res
-			if res.failure == peer.FailureSuspect && a.open == 0 {
-				return true
-			}
-			if !p.retry(ctx, a, res) && a.open == 0 {
-				p.finish(api.Part{Reason: reasonOf(res.failure), Held: res.held()})
-				return false
-			}
-		}
+	case res.answered():
+		p.finish(res.part)
+		return false
+	case res.failure == peer.FailureSuspect:
+		return true
+	default:
+		p.finish(api.Part{Reason: reasonOf(res.failure), Held: res.held()})
+		return false
 	}
 }
 
@@ -192,34 +166,45 @@
 	return c == nil || c.Holds(targetID, p.assigned.Service, p.leg.req.Snapshot.IndexVersion, time.Now())
 }
 
-// launch starts an attempt on a target that was not tried yet and reports whether there is one.
-func (p *part) launch(ctx context.Context, a *attempts) bool {
-	choice, ok := p.pick(a.tried)
+// partRun is one run of a part's attempts.
+type partRun struct {
+	*part
+	tried    []string // targets of this round
+	launched int
+}
+
+// Launch implements attempts.Caller.
+func (p *partRun) Launch(ctx context.Context, l attempts.Launch, ended func(attemptResult)) bool {
+	if l.Again {
+		p.tried = nil
+	}
+	choice, ok := p.pick(p.tried)
 	if !ok {
 		return false
 	}
-	a.tried = append(a.tried, choice.Target.ID)
-	a.open++
+	p.tried = append(p.tried, choice.Target.ID)
+	p.launched++
 	p.noteAttempt(choice.Target.ID)
-	n := len(a.tried) + a.round*16
-	a.probe = choice.Probe
-	mode := attemptMode{lastResort: p.others(a.tried) == 0}
-	if choice.Probe {
-		go p.probe(ctx, a, choice, n, mode)
-		return true
-	}
-	go func() { a.results <- p.leg.relay.attempt(ctx, p, choice, n, mode) }()
+	p.count(l)
+	n, mode := p.launched, attemptMode{lastResort: p.others(p.tried) == 0}
+	go func() {
+		if choice.Probe {
+			probe, cancel := p.probeContext(ctx)
+			defer cancel()
+			ctx = probe
+		}
+		ended(p.leg.relay.attempt(ctx, p.part, choice, n, mode))
+	}()
 	return true
 }
 
-// probe runs an attempt on a target that was ejected. It goes on when a hedge has answered the part: cancelled early it
-// would bring no verdict, and the next search would have to probe again.
-func (p *part) probe(ctx context.Context, a *attempts, choice balance.Choice, n int, mode attemptMode) {
-	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), p.leg.start.Add(p.leg.budget))
-	defer cancel()
-	a.results <- p.leg.relay.attempt(ctx, p, choice, n, mode)
+// probeContext lets a probe of an ejected target go on when a hedge has answered the part: cancelled early it would bring no
+// verdict, and the next search would have to probe again.
+func (p *part) probeContext(ctx context.Context) (context.Context, context.CancelFunc) {
+	return context.WithDeadline(context.WithoutCancel(ctx), p.leg.start.Add(p.leg.budget))
 }
 
+// noteAttempt notes an attempt for the trace of the part.
 func (p *part) noteAttempt(targetID string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -228,83 +213,50 @@
 	p.youngest = time.Now()
 }
 
-func (p *part) armHedge(timer *time.Timer, a *attempts) {
-	remaining := p.leg.budget - time.Since(p.leg.start)
-	if p.leg.relay.cfg.Baseline {
-		return
-	}
-	if d, ok := p.service.estimator.Delay(p.leg.hedgeQuantile(), hedge.DefaultFloor, remaining); ok {
-		timer.Reset(d)
-	}
-}
-
-func (p *part) hedge(ctx context.Context, timer *time.Timer, a *attempts) {
-	state := p.state(a)
-	state.Delay = 0 // the timer has measured it
-	switch hedge.ShouldHedge(state, p.leg.group.budget) {
-	case hedge.ReasonGo:
-	case hedge.ReasonBudget:
-		p.armHedge(timer, a)
-		return
+// count counts an attempt by its kind; one that stands in for another counts as a retry.
+func (p *part) count(l attempts.Launch) {
+	m := p.leg.relay.m
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch {
+	case l.Replaces || l.Kind == attempts.Retry:
+		p.trace.Retries++
+		m.retries.Inc()
+	case l.Kind == attempts.Hedge:
+		p.trace.Hedges++
+		m.hedges.Inc()
 	default:
-		return
-	}
-	if !p.launch(ctx, a) {
-		p.leg.group.budget.Refund()
-		return
+		m.primaries.Inc()
 	}
-	a.hedges++
-	p.leg.relay.m.hedges.Inc()
-	p.mu.Lock()
-	p.trace.Hedges++
-	p.mu.Unlock()
 }
 
-func (p *part) state(a *attempts) hedge.State {
-	return hedge.State{
-		Elapsed:   time.Since(p.leg.start),
-		Remaining: p.leg.budget - time.Since(p.leg.start),
-		Hedges:    a.hedges,
-		Others:    p.others(a.tried),
-		Overload:  p.leg.group.admission.overloaded(),
+// Ended implements attempts.Caller.
+func (p *partRun) Ended(res attemptResult) attempts.Next {
+	return attempts.Next{
+		Final: res.answered(), None: !res.retriable(), Unsent: res.consumedNothing(), Again: res.refusedForNow(),
 	}
 }
 
-// retry starts another attempt after a failure and reports whether it did.
-func (p *part) retry(ctx context.Context, a *attempts, res attemptResult) bool {
-	if p.leg.budget-time.Since(p.leg.start) < api.MinAttemptBudget {
-		return false
-	}
-	state := p.state(a)
-	state.Unsent = res.consumedNothing()
-	reason := hedge.ShouldRetry(state, res.retriable(), p.leg.group.budget)
-	// An ejected target does not count as another one, but for a part that nothing has run yet it is better than none.
-	may := reason == hedge.ReasonGo || reason == hedge.ReasonNoTarget && state.Unsent
-	if !may || !p.launch(ctx, a) {
-		if reason == hedge.ReasonGo && !state.Unsent {
-			p.leg.group.budget.Refund()
-		}
-		if a.open > 0 || !res.refusedForNow() || !p.nextRound(ctx, a) {
-			return false
-		}
+// HedgeDelay implements attempts.Caller.
+func (p *partRun) HedgeDelay() (time.Duration, bool) {
+	if p.leg.relay.cfg.Baseline {
+		return 0, false
 	}
-	p.leg.relay.m.retries.Inc()
-	p.mu.Lock()
-	p.trace.Retries++
-	p.mu.Unlock()
-	return true
+	remaining := p.leg.budget - time.Since(p.leg.start)
+	return p.service.estimator.Delay(p.leg.hedgeQuantile(), hedge.DefaultFloor, remaining)
 }
 
-// nextRound goes through the targets again after each refused for now.
-func (p *part) nextRound(ctx context.Context, a *attempts) bool {
-	if a.round+1 >= maxRounds {
-		return false
+// State implements attempts.Caller. An ejected target does not count as another one.
+func (p *partRun) State(attempts.Kind) hedge.State {
+	elapsed := time.Since(p.leg.start)
+	return hedge.State{
+		Elapsed: elapsed, Remaining: p.leg.budget - elapsed, Others: p.others(p.tried), Overload: p.leg.group.admission.overloaded(),
 	}
-	a.round++
-	a.tried = nil
-	return pauseFor(ctx, time.Duration(a.round)*roundPause) && p.launch(ctx, a)
 }
 
+// NoBudget implements attempts.Caller.
+func (p *partRun) NoBudget() {}
+
 // attemptResult is what one attempt brought.
 type attemptResult struct {
 	part    api.Part
