Tell peers which targets fail, where own calls are few

Cause: on the grown sites each of 61 to 79 nodes calls a target about 0.5 times a second, so after a fault each loses calls of its own to every ill target before it avoids it.

Ruled out: no time to retry (requests failed after 20 to 80 ms; retries found no token), the answer of the store.

Change: each 200 ms a node tells the nodes of its failure domain what it observed of targets that fail or are slow, and others only where the failure domain has fewer than five. balance.Picker takes it over as if the calls were its own, but ejects nothing.

--- a/internal/balance/outlier.go
+++ b/internal/balance/outlier.go
@@ -75,24 +75,30 @@
 // observe adds the observation to the target's measures and returns whether the call was bad.
 func (p *Picker) observe(s *state, o Observation, now time.Time) bool {
 	latency := max(0, o.Latency-s.Hop)
+	s.untold.calls++
 	switch o.Result {
 	case Success:
+		s.untold.answered++
+		s.untold.time(latency)
 		s.addLatency(latency, p.gain(s, latency), now)
 		s.addOutcome(false, now)
 		s.failures = 0
 		return p.noteSlow(s, latency, true, now)
 	case Failure:
 		s.addOutcome(true, now)
+		s.untold.failed, s.untold.bad = s.untold.failed+1, true
 		s.failures++
 		return true
 	case Unreachable:
 		s.addOutcome(true, now)
+		s.untold.failed, s.untold.bad = s.untold.failed+1, true
 		s.failures = max(s.failures+1, failuresToEject)
 		return true
 	case Cancelled:
 		// A lower bound says nothing when it is below the current estimate.
 		if latency > s.typical() {
 			s.addLatency(latency, p.gain(s, latency), now)
+			s.untold.time(latency)
 		}
 		return p.noteSlow(s, latency, false, now)
 	case Shed:
@@ -107,6 +113,7 @@
 // noteSlow counts consecutive slow calls. Only a completed call proves that a target is not slow.
 func (p *Picker) noteSlow(s *state, latency time.Duration, completed bool, now time.Time) bool {
 	if isSlow(latency, p.reference(s)) {
+		s.untold.bad = true
 		if s.slow++; s.slow == 1 {
 			s.slowSince = now
 		}
@@ -235,6 +242,6 @@
 	}
 	s.phase, s.readmitted, s.coldSince = phaseActive, now, now
 	s.failures, s.slow, s.failRate = 0, 0, 0
-	s.samples, s.logLatency = 0, 0
+	s.samples, s.logLatency, s.untold = 0, 0, untold{}
 	s.addLatency(o.Latency-s.Hop, latencyGain, now)
 }
--- a/internal/balance/picker.go
+++ b/internal/balance/picker.go
@@ -11,9 +11,10 @@
 
 // Picker chooses targets for one service in one relay. It is safe for concurrent use.
 type Picker struct {
-	mu        sync.Mutex // guards targets, what they point to, and ejections
+	mu        sync.Mutex // guards targets, what they point to, ejections and own
 	targets   []*state
 	ejections int // since the start
+	own       callRate
 
 	config Config
 }
--- a/internal/balance/target.go
+++ b/internal/balance/target.go
@@ -43,6 +43,7 @@
 	failures   int       // consecutive
 	slow       int       // consecutive calls slower than slowFactor × the others
 	slowSince  time.Time // end of the first of them
+	untold     untold
 
 	phase        phase
 	ejectedUntil time.Time
@@ -94,7 +95,7 @@
 func (s *state) resetForRestart(now time.Time) {
 	s.logLatency, s.samples, s.failRate, s.failures, s.slow = 0, 0, 0, 0, 0
 	s.phase, s.ejections, s.probesPassed = phaseActive, 0, 0
-	s.suspectUntil, s.shedUntil, s.coldSince = time.Time{}, time.Time{}, now
+	s.suspectUntil, s.shedUntil, s.coldSince, s.untold = time.Time{}, time.Time{}, now, untold{}
 }
 
 // nameLeaving turns a mark without an incarnation into one for the incarnation that is seen first: it may be the same
--- a/internal/gateway/core.go
+++ b/internal/gateway/core.go
@@ -50,6 +50,7 @@
 	members  *membership.Loop // nil without peers
 	peers    *peer.Pool
 	strikes  *quarantine.Strikes
+	evidence *evidence
 	life     *statechart.Machine[statechart.NodeState, statechart.NodeEvent]
 
 	mostNodes atomic.Int64 // largest number of live nodes seen together
@@ -70,6 +71,7 @@
 	c.engine = query.New(query.Config{Domain: cfg.Domain, Regions: cfg.Regions, Budget: cfg.Budget, FirstStart: cfg.FirstStart}, query.Deps{
 		Codec: env.Codec, Strikes: c.strikes, Charts: charts, Log: env.Log, Metrics: env.Set, Nodes: c.nodes, OnStrike: c.tellStrike,
 	})
+	c.evidence = newEvidence(c)
 	deps := published.Deps{Source: env.Source, Log: env.Log, Metrics: env.Set, Changed: c.publishedChanged}
 	if env.Peers != nil {
 		if err := c.newMembers(); err != nil {
@@ -164,6 +166,7 @@
 	if c.members != nil {
 		c.loops.Go(func() { c.members.Run(ctx) })
 		c.loops.Go(func() { c.applyStrikes(ctx) })
+		c.loops.Go(func() { c.evidence.run(ctx) })
 	}
 	return nil
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -14,6 +14,7 @@
 	"github.com/medlarshunt/medlarshunt/internal/ownership"
 	"github.com/medlarshunt/medlarshunt/internal/peer"
 	"github.com/medlarshunt/medlarshunt/internal/published"
+	"github.com/medlarshunt/medlarshunt/internal/query"
 	"github.com/medlarshunt/medlarshunt/internal/statechart"
 )
 
@@ -125,6 +126,10 @@
 		peer.MethodFetchState: handler.New(func(context.Context) (published.Snapshot, error) {
 			return c.follower.Snapshot(), nil
 		}),
+		peer.MethodEvidence: handler.New(func(_ context.Context, all []query.ServiceEvidence) (struct{}, error) {
+			c.evidence.take(all)
+			return struct{}{}, nil
+		}),
 		peer.MethodWatchState: handler.New(func(ctx context.Context, r watchRequest) (published.Delta, error) {
 			return c.follower.Offer(ctx, r.Revision, time.Duration(r.WaitMS)*time.Millisecond), nil
 		}),
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -16,6 +16,7 @@
 	MethodFetchConfig = "config.fetch"
 	MethodFetchState  = "published.fetch"
 	MethodWatchState  = "published.watch"
+	MethodEvidence    = "targets.evidence"
 
 	methodPing   = "peer.ping"
 	methodCancel = "peer.cancel"
--- a/internal/query/service.go
+++ b/internal/query/service.go
@@ -189,3 +189,35 @@
 	}
 	return e.hops.of(t.info.Domain)
 }
+
+// ServiceEvidence is what a node observed of the targets of one service.
+type ServiceEvidence struct {
+	Service string             `json:"service"`
+	Targets []balance.Evidence `json:"targets"`
+}
+
+// Evidence takes what peers have not been told about targets that fail or are slow.
+func (e *Engine) Evidence(now time.Time) []ServiceEvidence {
+	e.mu.RLock()
+	defer e.mu.RUnlock()
+	var all []ServiceEvidence
+	for name, s := range e.services {
+		if told := s.picker.Evidence(now); len(told) > 0 {
+			all = append(all, ServiceEvidence{Service: name, Targets: told})
+		}
+	}
+	return all
+}
+
+// Learn takes over what a peer observed of targets.
+func (e *Engine) Learn(all []ServiceEvidence, now time.Time) {
+	for _, told := range all {
+		s := e.service(told.Service)
+		if s == nil {
+			continue
+		}
+		for _, t := range told.Targets {
+			s.picker.Learn(t, now)
+		}
+	}
+}
