Leave connections to nodes that a node does not know yet

Cause: a restarted node knows no other node until the first heartbeats, and took all connections that a target accepts. After a loss of power the targets also count the connections of the last processes.

Change: the connections are divided among four nodes at least.

The resets that remain come from connections of processes that lost power.

TestLoneNodeLeavesConnectionsToOthers failed before (9 connections of at most 5).

--- a/internal/query/engine_test.go
+++ b/internal/query/engine_test.go
@@ -9,6 +9,7 @@
 	"slices"
 	"sort"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -42,10 +43,32 @@
 	targets map[string]*shardsim.Target // by id
 	view    *published.View
 	sent    int
+
+	dialsMu sync.Mutex // guards dials
+	dials   map[string]int
+}
+
+// dial connects to a target and counts the connections to each address.
+func (b *bench) dial(ctx context.Context, address string) (net.Conn, error) {
+	b.dialsMu.Lock()
+	b.dials[address]++
+	b.dialsMu.Unlock()
+	var d net.Dialer
+	return d.DialContext(ctx, "tcp", address)
+}
+
+// mostDials is the number of connections to the target that got most.
+func (b *bench) mostDials() (most int) {
+	b.dialsMu.Lock()
+	defer b.dialsMu.Unlock()
+	for _, n := range b.dials {
+		most = max(most, n)
+	}
+	return most
 }
 
 func newBench(t testing.TB, change func(*routing.Configuration)) *bench {
-	b := &bench{t: t, g: NewWithT(t), strikes: quarantine.NewStrikes(), log: &bytes.Buffer{}, targets: map[string]*shardsim.Target{}}
+	b := &bench{t: t, g: NewWithT(t), strikes: quarantine.NewStrikes(), log: &bytes.Buffer{}, targets: map[string]*shardsim.Target{}, dials: map[string]int{}}
 	set := metrics.NewSet()
 	charts, err := statechart.NewCharts(set)
 	b.g.Expect(err).NotTo(HaveOccurred())
@@ -56,7 +79,7 @@
 	}
 	b.engine = query.New(query.Config{
 		Domain: "north", Regions: map[string]string{"north": "r", "south": "s"}, Budget: query.BudgetRule{Share: 0.5, Slack: 50},
-	}, query.Deps{Codec: platform.Codec{}, Strikes: b.strikes, Charts: charts, Log: logrus.NewEntry(log), Metrics: set})
+	}, query.Deps{Codec: platform.Codec{}, Strikes: b.strikes, Charts: charts, Log: logrus.NewEntry(log), Metrics: set, Dial: b.dial})
 	t.Cleanup(b.engine.Close)
 	c := configuration()
 	if change != nil {
@@ -393,6 +416,24 @@
 	b.g.Expect(arrivals).To(BeNumerically(">", n), "some are tried again")
 }
 
+// Guards against a node that knows no others yet and takes all connections that a target accepts: the targets reset those
+// of the other nodes, or its own while they still count the connections of its last process.
+func TestLoneNodeLeavesConnectionsToOthers(t *testing.T) {
+	const accepted, requests = 20, 60
+	b := newBench(t, nil)
+	b.eachOf("single", shardsim.Faults{Paused: true})
+	ctx, leave := context.WithCancel(context.Background())
+	var all sync.WaitGroup
+	for range requests {
+		r := b.request("/book/x")
+		all.Go(func() { b.engine.Serve(ctx, r) })
+	}
+	b.g.Eventually(b.mostDials, 5*time.Second).Should(BeNumerically(">", 1))
+	b.g.Consistently(b.mostDials, 300*time.Millisecond).Should(BeNumerically("<=", accepted/4))
+	leave()
+	all.Wait()
+}
+
 // Guards against a split whose requests go to one service only.
 func TestSplitUsesAllItsServices(t *testing.T) {
 	b := newBench(t, nil)
--- a/internal/query/service.go
+++ b/internal/query/service.go
@@ -130,9 +130,13 @@
 	}
 }
 
+// minSharers is the least number of nodes among which the connections of a target are divided, so that a node that knows no
+// others, because it has just started or is cut off from them, leaves theirs free.
+const minSharers = 4
+
 // setCaps divides the connections that each target accepts among the nodes. The caller holds mu.
 func (e *Engine) setCaps() {
-	nodes := max(1, e.deps.Nodes())
+	nodes := max(minSharers, e.deps.Nodes())
 	for _, t := range e.targets {
 		limit := t.info.Slots
 		if e.view.Table != nil {
