--- a/internal/query/work.go
+++ b/internal/query/work.go
@@ -20,11 +20,18 @@
 	minHedgeDelay = 8 * time.Millisecond
 	// firstHedgeShare is the share of the goal after which an attempt is hedged before latencies are known.
 	firstHedgeShare = 5
+	// hedgePause is the time until a hedge without budget is considered again: tokens come in with other requests, a few
+	// tens of milliseconds apart.
+	hedgePause = 10 * time.Millisecond
+	// maxUnsent is the number of attempts that may stand in for ones that wrote nothing: two for each of three replicas.
+	maxUnsent = 6
+	// maxRefused is the number of attempts that targets may refuse to run: each replica once, and one of them again.
+	maxRefused = 4
 )
 
-// attemptLimits bound the attempts of one request on one service. Refused attempts count as load on this platform, so there
-// are no rounds without budget.
-var attemptLimits = attempts.Limits{Unsent: 6, Refused: 4, HedgePause: 10 * time.Millisecond}
+// attemptLimits bound the attempts of one request on one service. The platform counts refused attempts as load, so there are
+// no rounds without budget.
+var attemptLimits = attempts.Limits{Unsent: maxUnsent, Refused: maxRefused, HedgePause: hedgePause}
 
 // work is one request on one service: its attempts until one has answered.
 type work struct {
