--- a/internal/gateway/evidence.go
+++ b/internal/gateway/evidence.go
@@ -27,6 +27,8 @@
 	minEvidencePeers = 5
 	// evidenceTimeout bounds one message, so that a peer that is cut off holds few of them.
 	evidenceTimeout = time.Second
+	// evidenceLogInterval is how often a line sums up what peers told: some target pauses at most moments.
+	evidenceLogInterval = time.Second
 	// maxLoggedTargets bounds the targets in one log line.
 	maxLoggedTargets = 20
 )
@@ -55,6 +57,7 @@
 func (e *evidence) run(ctx context.Context) {
 	tick := time.NewTicker(evidenceInterval)
 	defer tick.Stop()
+	logged := time.Now()
 	var calls sync.WaitGroup
 	defer calls.Wait()
 	for {
@@ -62,7 +65,10 @@
 		case <-ctx.Done():
 			return
 		case now := <-tick.C:
-			e.logLearned()
+			if now.Sub(logged) >= evidenceLogInterval {
+				e.logLearned()
+				logged = now
+			}
 			all := e.core.engine.Evidence(now)
 			if len(all) == 0 {
 				continue
@@ -112,7 +118,7 @@
 	slices.Sort(targets)
 	e.core.env.Log.WithFields(logrus.Fields{
 		"count": len(targets), "targets": targets[:min(len(targets), maxLoggedTargets)],
-	}).Info("peers told of targets that fail")
+	}).Info("peers told of targets that fail or are slow")
 }
 
 func (e *evidence) takeLearned() map[string]observed {
