--- a/internal/balance/evidence.go
+++ b/internal/balance/evidence.go
@@ -25,6 +25,7 @@
 	bad                            bool    // a call failed or was slow
 }
 
+// time adds the latency of a call.
 func (u *untold) time(latency time.Duration) {
 	u.timed++
 	u.logLatency += math.Log(float64(max(latency, time.Microsecond)))
@@ -34,8 +35,8 @@
 // back when it has recovered.
 const notableFailRate = 0.05
 
-// ownRateEnough is the own calls per second and target above which a node learns as fast by itself. Nodes that react to the same
-// evidence at the same moment move their load together, so they do it only where they know little.
+// ownRateEnough is the own calls per second and target above which a node learns as fast by itself. Nodes that react to the
+// same evidence at the same moment move their load together, so they do it only where they know little.
 const ownRateEnough = 3.0
 
 // rateWindow is the time over which the own calls are averaged.
@@ -50,6 +51,7 @@
 // knowsEnough reports whether this node calls the targets so often that peers tell it nothing new. The caller holds mu.
 func (p *Picker) knowsEnough() bool { return p.own.perTarget > ownRateEnough }
 
+// add adds the calls since the last time to the mean.
 func (r *callRate) add(calls, targets int, now time.Time) {
 	elapsed := now.Sub(r.at).Seconds()
 	if targets == 0 || elapsed <= 0 {
@@ -91,8 +93,8 @@
 	return told
 }
 
-// Learn takes over what a peer observed, where own calls are few. It moves the estimates as the calls themselves would have, but ejects nothing: the
-// fault may lie between the peer and the target.
+// Learn takes over what a peer observed, where own calls are few. It moves the estimates as the calls themselves would have,
+// but ejects nothing: the fault may lie between the peer and the target.
 func (p *Picker) Learn(e Evidence, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
