Wait for the first request of new connections at a stop

Cause: a stopping node closed each connection that had been idle for 20 ms as soon as the balancer must have noticed, 2.2 s after the signal. A connection without a request counted as idle.

Change: a connection that has brought no request stays open for 1 s after it was accepted.

The new test failed before: the late request met a closed connection.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -35,6 +35,9 @@
 	// NoticeTime is how long the balancer may take to notice that the node is not ready; new connections are taken
 	// meanwhile.
 	NoticeTime time.Duration
+	// FirstRequestTime is how long a stopping server waits for the first request of a connection: a caller opens one to send
+	// on it, and a packet of the request may be lost and sent again.
+	FirstRequestTime time.Duration
 	// AcceptTime is the time from the begin of a stop after which requests on kept connections are refused: they might
 	// not end before the process does.
 	AcceptTime time.Duration
@@ -63,6 +66,7 @@
 	net net.Conn
 
 	mu     sync.Mutex
+	used   bool // a request was read
 	busy   bool // a request was read and is not answered yet
 	closed bool // this side has closed it; a request that is read now is not passed on
 	idle   time.Time
@@ -162,7 +166,7 @@
 	if c.closed {
 		return false
 	}
-	c.busy = true
+	c.used, c.busy = true, true
 	return true
 }
 
@@ -179,10 +183,15 @@
 	return c.closed
 }
 
-// closeIdle closes the connection if it has been idle since before the given time.
-func (c *callerConn) closeIdle(before time.Time) bool {
+// closeIdle closes the connection if it has been idle since before the first time, or, when it has brought no request yet,
+// open since before the second one.
+func (c *callerConn) closeIdle(idle, open time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	before := idle
+	if !c.used {
+		before = open
+	}
 	if c.busy || c.closed || c.idle.After(before) {
 		return false
 	}
@@ -202,7 +211,8 @@
 		case <-tick.C:
 		}
 		if limit := s.cfg.IdleTimeout(); limit > 0 {
-			s.closeIdle(time.Now().Add(-limit))
+			before := time.Now().Add(-limit)
+			s.closeIdle(before, before)
 		}
 	}
 }
@@ -219,7 +229,7 @@
 	return n
 }
 
-func (s *Server) closeIdle(before time.Time) (closed int) {
+func (s *Server) closeIdle(idle, open time.Time) (closed int) {
 	s.mu.Lock()
 	conns := make([]*callerConn, 0, len(s.conns))
 	for _, c := range s.conns {
@@ -227,7 +237,7 @@
 	}
 	s.mu.Unlock()
 	for _, c := range conns {
-		if c.closeIdle(before) {
+		if c.closeIdle(idle, open) {
 			closed++
 		}
 	}
@@ -246,7 +256,8 @@
 		s.log.WithError(err).Warn("cannot close the callers' listener")
 	}
 	for s.sinceStop() < s.cfg.StopTime {
-		s.closeIdle(time.Now().Add(-stopIdle))
+		now := time.Now()
+		s.closeIdle(now.Add(-stopIdle), now.Add(-s.cfg.FirstRequestTime))
 		if s.active.Load() == 0 && s.open() == 0 {
 			break
 		}
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -106,6 +106,30 @@
 	<-h.stopped
 }
 
+// Guards against a first request that is lost at a planned stop because a packet of it had to be sent again: the connection
+// was accepted, and the callers' listener was closed before the request arrived.
+func TestStopAwaitsTheFirstRequestOfNewConnections(t *testing.T) {
+	h := start(t, Config{NoticeTime: 200 * time.Millisecond, FirstRequestTime: time.Minute, AcceptTime: time.Minute, StopTime: time.Minute})
+	h.stop()
+	fresh := h.dial()
+	h.g.Eventually(func() error {
+		c, err := net.Dial("tcp", h.l.Addr().String())
+		if err == nil {
+			c.Close()
+		}
+		return err
+	}).Should(HaveOccurred(), "the listener is closed")
+	time.Sleep(10 * stopIdle)
+	fresh.send("/late")
+	h.g.Eventually(h.started).Should(Receive(Equal("/late")))
+	h.proceed <- struct{}{}
+	resp, body, err := fresh.answer()
+	h.g.Expect(err).NotTo(HaveOccurred())
+	h.g.Expect(body).To(Equal("done"))
+	h.g.Expect(resp.Close).To(BeTrue())
+	<-h.stopped
+}
+
 // Guards against a stop that hangs on connections without requests, or closes before the balancer has noticed.
 func TestStopClosesIdleConnectionsAfterTheNotice(t *testing.T) {
 	h := start(t, quick)
@@ -150,7 +174,7 @@
 		_, _, err := c.answer()
 		h.g.Expect(err).NotTo(HaveOccurred())
 		closed := make(chan struct{})
-		go func() { h.server.closeIdle(time.Now()); close(closed) }()
+		go func() { now := time.Now(); h.server.closeIdle(now, now); close(closed) }()
 		path := fmt.Sprintf("/cross%d", i)
 		c.send(path)
 		<-closed
@@ -176,8 +200,10 @@
 	h := start(t, quick)
 	h.dial()
 	h.g.Eventually(func() int { h.server.mu.Lock(); defer h.server.mu.Unlock(); return len(h.server.conns) }).Should(Equal(1))
-	h.g.Expect(h.server.closeIdle(time.Now().Add(-time.Minute))).To(BeZero())
-	h.g.Expect(h.server.closeIdle(time.Now())).To(Equal(1))
+	now := time.Now()
+	longAgo := now.Add(-time.Minute)
+	h.g.Expect(h.server.closeIdle(longAgo, longAgo)).To(BeZero())
+	h.g.Expect(h.server.closeIdle(now, now)).To(Equal(1))
 }
 
 // Guards against connections that outlive the stop: a request on one of them is read by a process that is about to end
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -17,6 +17,9 @@
 	// noticeTime is how long the balancer takes at most to send no new connections: it asks once a second and takes a node
 	// out after two misses.
 	noticeTime = 2200 * time.Millisecond
+	// firstRequestTime is how long a stopping node waits for the first request of a connection. A lost packet is sent again
+	// after 0.2 s or more, and once more after twice that.
+	firstRequestTime = time.Second
 	// lastRequests is the time after the begin of a stop from which requests on kept connections are refused.
 	lastRequests = 3200 * time.Millisecond
 	// stopMargin is kept from the grace time for the end of the process.
@@ -40,7 +43,8 @@
 	stop := cfg.Grace - stopMargin
 	s := &servers{core: c, env: env}
 	s.front = front.NewServer(front.Config{
-		IdleTimeout: c.idleTimeout, NoticeTime: min(noticeTime, stop/2), AcceptTime: min(lastRequests, stop/2), StopTime: stop,
+		IdleTimeout: c.idleTimeout, NoticeTime: min(noticeTime, stop/2), FirstRequestTime: firstRequestTime,
+		AcceptTime: min(lastRequests, stop/2), StopTime: stop,
 	}, env.Handler(c.engine), env.Refuse, env.Log)
 	s.ready = &http.Server{Handler: env.ReadyHandler(s.isReady), ReadHeaderTimeout: smallServerTimeout}
 	s.stats = &http.Server{Handler: metricsHandler(env.Set), ReadHeaderTimeout: smallServerTimeout}
