End a peer connection at the first message that is not a request

Cause: one malformed message took a process down. The jrpc2 server keeps notifications that are queued when a connection ends and answers the invalid ones among them, on a channel that is nil by then: a nil pointer in a goroutine of the library, which nothing of ours can contain. Change: each message that reaches a server of ours is checked before the library sees it. Batches, unknown fields, another version, ids that are neither strings nor numbers, and parameters that are neither objects nor arrays end the connection.

--- a/internal/peer/bounds_test.go
+++ b/internal/peer/bounds_test.go
@@ -19,9 +19,14 @@
 
 // startServer serves a method that panics and one that answers, and returns the address.
 func startServer(t *testing.T) string {
-	g := NewWithT(t)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
-	g.Expect(err).NotTo(HaveOccurred())
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	serve(t, l)
+	return l.Addr().String()
+}
+
+// serve serves a method that panics and one that answers on the listener, until the end of the test.
+func serve(t *testing.T, l net.Listener) {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	server := peer.NewServer(l, handler.Map{
@@ -30,11 +35,11 @@
 	}, panics.New(logrus.NewEntry(log), metrics.NewSet(), func() { t.Error("the process was stopped") }))
 	go server.Serve()
 	t.Cleanup(func() { server.Close() })
-	return l.Addr().String()
 }
 
-func expectServed(g *WithT, address string) {
-	pool := peer.NewPool(nil)
+// expectServed calls the method that answers, on a new connection; a nil dial dials TCP.
+func expectServed(g *WithT, address string, dial peer.DialFunc) {
+	pool := peer.NewPool(dial)
 	defer pool.Close()
 	var answer int
 	g.Expect(pool.Call(context.Background(), address, "echo", struct{}{}, &answer)).To(Succeed())
@@ -68,7 +73,7 @@
 		sent += n
 	}
 	g.Expect(err).To(HaveOccurred(), "the server reads without end")
-	expectServed(g, address)
+	expectServed(g, address, nil)
 }
 
 // Guards against a server without end: the caller gives up its connection, and the call fails.
@@ -98,3 +103,44 @@
 	g.Expect(ctx.Err()).NotTo(HaveOccurred())
 	g.Eventually(closed, 5*time.Second).Should(BeClosed())
 }
+
+// Guards against a malformed notification whose connection ends before it is answered: the JSON-RPC library then panics in a
+// goroutine of its own, and the process ends.
+func TestMalformedNotificationAtTheEndOfAConnection(t *testing.T) {
+	g := NewWithT(t)
+	address := startServer(t)
+	for _, message := range []string{
+		`[{"jsonrpc":"2.0","method":"rpc.cancel","pa` + "`" + `ams":[1]}]`, `{"jsonrpc":"2.0","method":"echo","extra":1}`, `{"jsonrpc":"1.0","method":"echo"}`,
+		`{"jsonrpc":"2.0","method":"echo","params":7}`, `{"jsonrpc":"2.0","id":null,"method":"echo","x":0}`, `[]`, `{}`, `7`,
+	} {
+		for range 20 {
+			c, err := net.Dial("tcp", address)
+			g.Expect(err).NotTo(HaveOccurred())
+			_, err = io.WriteString(c, message+"\n")
+			g.Expect(err).NotTo(HaveOccurred())
+			c.Close()
+		}
+	}
+	expectServed(g, address, nil)
+}
+
+// FuzzPeerMessage guards against bytes of a peer that panic the server or stop it from serving others.
+func FuzzPeerMessage(f *testing.F) {
+	for _, seed := range []string{
+		`{"jsonrpc":"2.0","id":1,"method":"echo","params":{}}`, `{"jsonrpc":"2.0","id":null,"method":"panic"}`, `[]`, `[{}]`, `{`, "\x00", "",
+		`{"jsonrpc":"2.0","id":{"a":1},"method":7}`, `[{"jsonrpc":"2.0","method":"rpc.cancel","params":[1]}]`,
+	} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, message []byte) {
+		g := NewWithT(t)
+		l := newPipeListener()
+		serve(t, l)
+		c, err := l.dial(t.Context(), "")
+		g.Expect(err).NotTo(HaveOccurred())
+		_ = c.SetDeadline(time.Now().Add(time.Second)) // the server answers some messages before it reads on
+		_, _ = c.Write(append(message, '\n'))
+		c.Close()
+		expectServed(g, "", l.dial)
+	})
+}
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -162,7 +162,7 @@
 	}
 	pc.lastDialFailure = time.Time{}
 	pc.lastRecv.Store(int64(time.Since(processStart)))
-	pc.client = jrpc2.NewClient(&recvTimeChannel{Channel: newLineChannel(conn, writeTimeoutConn{conn}), lastRecv: &pc.lastRecv}, &jrpc2.ClientOptions{
+	pc.client = jrpc2.NewClient(&recvTimeChannel{Channel: newLineChannel(conn, writeTimeoutConn{conn}, acceptAll), lastRecv: &pc.lastRecv}, &jrpc2.ClientOptions{
 		OnCancel: func(cli *jrpc2.Client, rsp *jrpc2.Response) {
 			go cli.Notify(context.Background(), methodCancel, cancelParams{ID: rsp.ID()})
 		},
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -2,11 +2,14 @@
 
 import (
 	"bufio"
+	"encoding/json"
 	"errors"
 	"io"
 	"net"
+	"slices"
 	"time"
 
+	"github.com/creachadair/jrpc2"
 	"github.com/creachadair/jrpc2/channel"
 	"github.com/rotisserie/eris"
 )
@@ -19,17 +22,56 @@
 	readBufferBytes = 4 << 10
 )
 
-var errMessageTooLarge = eris.New("message of a peer is larger than the limit")
+var (
+	errMessageTooLarge = eris.New("message of a peer is larger than the limit")
+	errMalformed       = eris.New("message of a peer is not a request")
+)
 
 // lineChannel sends and receives one JSON value per line: encoding/json never writes a raw line feed inside a value. Received
-// lines are bounded. A message that is too large ends the connection. It implements channel.Channel.
+// lines are bounded and passed to check. A message that is too large or fails the check ends the connection. It implements
+// channel.Channel.
 type lineChannel struct {
 	reader *bufio.Reader
 	conn   io.WriteCloser
+	check  func([]byte) error
+}
+
+func newLineChannel(r io.Reader, conn io.WriteCloser, check func([]byte) error) channel.Channel {
+	return &lineChannel{reader: bufio.NewReaderSize(r, readBufferBytes), conn: conn, check: check}
+}
+
+// acceptAll accepts every message. The results that a client receives are checked when they are decoded.
+func acceptAll([]byte) error { return nil }
+
+// checkRequest accepts single requests and notifications that jrpc2 considers well-formed. The jrpc2 server answers any other
+// message, also when the connection has ended meanwhile, which panics in a goroutine of its own.
+func checkRequest(message []byte) error {
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(message, &fields); err != nil {
+		return errMalformed
+	}
+	for name := range fields {
+		if !slices.Contains([]string{"jsonrpc", "id", "method", "params"}, name) {
+			return errMalformed
+		}
+	}
+	var version, method string
+	if json.Unmarshal(fields["jsonrpc"], &version) != nil || version != jrpc2.Version || json.Unmarshal(fields["method"], &method) != nil || method == "" {
+		return errMalformed
+	}
+	id, hasID := fields["id"]
+	if hasID && !isStringOrNumber(id) {
+		return errMalformed
+	}
+	if params, ok := fields["params"]; ok && params[0] != '{' && params[0] != '[' {
+		return errMalformed
+	}
+	return nil
 }
 
-func newLineChannel(r io.Reader, conn io.WriteCloser) channel.Channel {
-	return &lineChannel{reader: bufio.NewReaderSize(r, readBufferBytes), conn: conn}
+// isStringOrNumber reports whether a valid JSON value is a string or a number.
+func isStringOrNumber(value json.RawMessage) bool {
+	return value[0] == '"' || value[0] == '-' || value[0] >= '0' && value[0] <= '9'
 }
 
 // Send implements channel.Channel.
@@ -50,7 +92,11 @@
 		line = append(line, part...)
 		switch {
 		case err == nil:
-			return line[:len(line)-1], nil
+			line = line[:len(line)-1]
+			if err := c.check(line); err != nil {
+				return nil, err
+			}
+			return line, nil
 		case !errors.Is(err, bufio.ErrBufferFull):
 			return nil, err
 		}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -89,7 +89,7 @@
 	s.conns[conn] = struct{}{}
 	s.serving.Add(1)
 	s.mu.Unlock()
-	srv.Start(newLineChannel(conn, writeTimeoutConn{conn}))
+	srv.Start(newLineChannel(conn, writeTimeoutConn{conn}, checkRequest))
 	go func() {
 		defer s.serving.Done()
 		_ = srv.Wait() // why the connection ended does not matter
