Fail a call whose response names no request where others did

Cause: a late second copy of an answer that bears no request id was taken for the answer to the next request on its connection. Change: a connection on which the target has named the requests of its responses accepts no response that names none; the call fails as malformed and the connection is closed. Targets that never name requests are served as before. Tests: TestLateUnidentifiedResponseIsNotAccepted (accepted before), TestUnidentifiedResponsesAreAcceptedWhereNoneIsNamed.

--- a/internal/httpcall/conn.go
+++ b/internal/httpcall/conn.go
@@ -18,6 +18,7 @@
 
 var (
 	errUnexpectedBytes = eris.New("received bytes with no request pending")
+	errUnidentified    = eris.New("response names no request on a connection where others did")
 	errTooManySkipped  = eris.New("too many responses that match no request")
 )
 
@@ -27,6 +28,7 @@
 	netConn     net.Conn
 	reader      *bufio.Reader
 	maxIdle     time.Duration // derived from the target's Keep-Alive header; 0 for none
+	identifies  bool          // the responses so far named their requests; owned by the read loop
 	idleSince   time.Time     // start of the current idle period; owned by the pool
 	onIdleClose func(*conn)   // called when the connection closes while idle
 	panics      *panics.Handler
@@ -136,12 +138,19 @@
 		if resp.StatusCode < http.StatusOK {
 			continue // 1xx: an interim response
 		}
-		if call.MatchesResponse != nil && !call.MatchesResponse(resp.Header) {
-			if resp.Close {
-				return result{err: io.ErrUnexpectedEOF, received: true}
-			}
+		match := Own
+		if call.MatchResponse != nil {
+			match = call.MatchResponse(resp.Header)
+		}
+		switch {
+		case match == Foreign && resp.Close:
+			return result{err: io.ErrUnexpectedEOF, received: true}
+		case match == Foreign:
 			continue
+		case match == Unidentified && c.identifies:
+			return result{err: errUnidentified, received: true}
 		}
+		c.identifies = match == Own
 		c.updateMaxIdle(resp.Header)
 		out := &Response{Status: resp.StatusCode, Header: resp.Header, Body: body, Closing: resp.Close}
 		// A connection is not reused after a skipped response, or with bytes left after this one.
--- a/internal/httpcall/endless_test.go
+++ b/internal/httpcall/endless_test.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"io"
 	"net"
-	"net/http"
 	"runtime"
 	"strings"
 	"testing"
@@ -153,7 +152,7 @@
 		c := &conn{reader: bufio.NewReaderSize(bytes.NewReader(data), readBufferBytes)}
 		reserved := 0
 		call := &Call{
-			MaxResponseBytes: limit, MatchesResponse: func(h http.Header) bool { return h.Get("Id") == "1" },
+			MaxResponseBytes: limit, MatchResponse: newCall("1").MatchResponse,
 			Reserve: func(n int) error { reserved += n; return nil },
 		}
 		res := c.readResponse(call)
--- a/internal/httpcall/httpcall.go
+++ b/internal/httpcall/httpcall.go
@@ -12,9 +12,9 @@
 type Call struct {
 	RequestHead []byte
 	Body        []byte
-	// MatchesResponse reports whether a response with these headers answers this call. Other responses are skipped: a target
-	// may send a late second response to an earlier request.
-	MatchesResponse func(http.Header) bool
+	// MatchResponse tells whose response one with these headers is. Those to other requests are skipped: a target may send a
+	// late second response to an earlier request. nil accepts all responses.
+	MatchResponse func(http.Header) Match
 	// MaxIdle is the longest time for which a reused connection may have been idle; 0 means the pool's limit, and a
 	// negative value always opens a new connection.
 	MaxIdle time.Duration
@@ -29,6 +29,20 @@
 	NoResponseBody bool
 }
 
+// Match tells whose response it is.
+type Match int
+
+// Results of Call.MatchResponse.
+const (
+	// Unidentified is a response that names no request. It is accepted on a connection on which the target has named none so
+	// far. After one that did, it may be a late copy of an earlier response, and the call fails.
+	Unidentified Match = iota
+	// Own is a response to this call.
+	Own
+	// Foreign is a response to another request.
+	Foreign
+)
+
 // Response is a complete response.
 type Response struct {
 	Status int
--- a/internal/httpcall/httpcall_test.go
+++ b/internal/httpcall/httpcall_test.go
@@ -80,8 +80,17 @@
 
 func newCall(id string) *Call {
 	return &Call{
-		RequestHead:     []byte("GET / HTTP/1.1\r\nHost: h\r\nId: " + id + "\r\n\r\n"),
-		MatchesResponse: func(h http.Header) bool { return h.Get("Id") == id },
+		RequestHead: []byte("GET / HTTP/1.1\r\nHost: h\r\nId: " + id + "\r\n\r\n"),
+		MatchResponse: func(h http.Header) Match {
+			switch h.Get("Id") {
+			case "":
+				return Unidentified
+			case id:
+				return Own
+			default:
+				return Foreign
+			}
+		},
 	}
 }
 
@@ -196,6 +205,54 @@
 	g.Expect(s.accepted.Load()).To(BeEquivalentTo(2), "a connection with foreign responses is not reused")
 }
 
+// Guards against a late second copy without an id that is taken for the response to the next request. The target named the
+// requests of its responses before.
+func TestLateUnidentifiedResponseIsNotAccepted(t *testing.T) {
+	g := NewWithT(t)
+	s := startTarget(t, func(s *scriptedTarget, n int, c net.Conn, r *bufio.Reader) {
+		if n > 1 {
+			echo(s, n, c, r)
+			return
+		}
+		id, _ := s.read(r)
+		respond(c, id, "body of "+id)
+		id, _ = s.read(r)
+		fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nbody of 1")
+		respond(c, id, "body of "+id)
+	})
+	p := NewPool(Config{Address: s.address, MaxConnections: 1})
+	defer p.Close()
+	_, err := do(p, "1")
+	g.Expect(err).NotTo(HaveOccurred())
+	_, err = do(p, "2")
+	g.Expect(asCallError(g, err)).To(And(HaveField("Kind", KindMalformed), HaveField("Written", true)))
+	resp, err := do(p, "3")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(string(resp.Body)).To(Equal("body of 3"))
+}
+
+// Guards against a target that never names the requests of its responses and is not used.
+func TestUnidentifiedResponsesAreAcceptedWhereNoneIsNamed(t *testing.T) {
+	g := NewWithT(t)
+	s := startTarget(t, func(s *scriptedTarget, _ int, c net.Conn, r *bufio.Reader) {
+		for {
+			id, ok := s.read(r)
+			if !ok {
+				return
+			}
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nbody of %s", id)
+		}
+	})
+	p := NewPool(Config{Address: s.address, MaxConnections: 1})
+	defer p.Close()
+	for i := range 3 {
+		resp, err := do(p, fmt.Sprint(i))
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(string(resp.Body)).To(Equal(fmt.Sprintf("body of %d", i)))
+	}
+	g.Expect(s.accepted.Load()).To(BeEquivalentTo(1))
+}
+
 // Guards against stray bytes that arrive before the next response and are taken for a part of it. Their origin is unknown,
 // so the next call fails, but it never returns a wrong response.
 func TestLateBytesFailNextCall(t *testing.T) {
--- a/internal/query/attempt.go
+++ b/internal/query/attempt.go
@@ -85,8 +85,8 @@
 	e := c.engine
 	call := &httpcall.Call{
 		Body: c.req.Body, NoResponseBody: c.req.Method == http.MethodHead, Priority: c.route.Priority,
-		MatchesResponse: func(h http.Header) bool { return e.deps.Codec.MatchesResponse(c.req, h) },
-		Reserve:         c.memory.Reserve,
+		MatchResponse: func(h http.Header) httpcall.Match { return e.deps.Codec.MatchResponse(c.req, h) },
+		Reserve:       c.memory.Reserve,
 	}
 	if c.route.Gathers() {
 		call.MaxResponseBytes = maxPartBytes
--- a/internal/query/query.go
+++ b/internal/query/query.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/medlarshunt/medlarshunt/internal/api"
+	"github.com/medlarshunt/medlarshunt/internal/httpcall"
 )
 
 // Request is a request as a caller sent it. A caller that retries sends another Request.
@@ -93,8 +94,8 @@
 type Codec interface {
 	// EncodeHead returns the request line and the headers. They tell the target to stop after left.
 	EncodeHead(r *Request, target string, left time.Duration) []byte
-	// MatchesResponse reports whether a response with these headers belongs to the request.
-	MatchesResponse(r *Request, h http.Header) bool
+	// MatchResponse tells whose response one with these headers is.
+	MatchResponse(r *Request, h http.Header) httpcall.Match
 	// DecodeReply decodes a complete response.
 	DecodeReply(status int, h http.Header, body []byte) Reply
 }
--- a/internal/query/trouble_test.go
+++ b/internal/query/trouble_test.go
@@ -9,6 +9,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/medlarshunt/medlarshunt/internal/httpcall"
 	"github.com/medlarshunt/medlarshunt/internal/query"
 	"github.com/medlarshunt/medlarshunt/internal/standin/shardsim"
 	"github.com/medlarshunt/medlarshunt/platform"
@@ -30,11 +31,11 @@
 	return c.Codec.EncodeHead(r, target, left)
 }
 
-func (c markedCodec) MatchesResponse(r *query.Request, h http.Header) bool {
+func (c markedCodec) MatchResponse(r *query.Request, h http.Header) httpcall.Match {
 	if strings.Contains(r.Path, panicOnHeader) {
 		panic("cannot match")
 	}
-	return c.Codec.MatchesResponse(r, h)
+	return c.Codec.MatchResponse(r, h)
 }
 
 func (c markedCodec) DecodeReply(status int, h http.Header, body []byte) query.Reply {
