Let the reading of callers' bodies set a deadline on their connections

Cause: the bound on the time of a body had no effect in the product: the response writer of the callers' server hid the connection from http.ResponseController, and the error was dropped. Found when reading the change again. The test had used another server than the product does.

--- a/internal/callerserver/callerserver.go
+++ b/internal/callerserver/callerserver.go
@@ -153,6 +153,9 @@
 	server *Server
 }
 
+// Unwrap lets http.ResponseController reach the connection.
+func (c *closingResponseWriter) Unwrap() http.ResponseWriter { return c.ResponseWriter }
+
 // WriteHeader implements http.ResponseWriter.
 func (c *closingResponseWriter) WriteHeader(status int) {
 	if c.server.Stopping() {
