Log and count what tells a dead peer connection from a slow reader

A failed call between nodes now says how long its connection had been open and how long nothing was received on it; the line 'cannot follow the node' adds the failures in a row, the revision and the time since the store last confirmed the state. Counters: open and opened connections to other nodes, calls that ended with nothing received since they began. No logic is changed.

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/creachadair/jrpc2"
 	"github.com/creachadair/jrpc2/channel"
 	"github.com/rotisserie/eris"
@@ -36,6 +37,7 @@
 // Pool holds one connection per peer address.
 type Pool struct {
 	dial    DialFunc
+	metrics *poolMetrics
 	done    chan struct{} // closed by Close
 	pingers sync.WaitGroup
 
@@ -52,6 +54,7 @@
 
 	mu              sync.Mutex
 	client          *jrpc2.Client
+	openedAt        time.Time // when client was connected
 	lastDialFailure time.Time
 	waiters         map[*silenceWaiter]struct{}
 	isPinging       bool
@@ -65,13 +68,18 @@
 // processStart is the origin of the times in lastRecv.
 var processStart = time.Now()
 
-// NewPool returns a pool that opens connections with dial; nil means plain TCP.
-func NewPool(dial DialFunc) *Pool {
+// NewPool returns a pool that opens connections with dial; nil means plain TCP. A nil set keeps the metrics to the pool.
+func NewPool(dial DialFunc, set *metrics.Set) *Pool {
 	if dial == nil {
 		var d net.Dialer
 		dial = func(ctx context.Context, address string) (net.Conn, error) { return d.DialContext(ctx, "tcp", address) }
 	}
-	return &Pool{dial: dial, done: make(chan struct{}), conns: map[string]*peerConn{}}
+	if set == nil {
+		set = metrics.NewSet()
+	}
+	p := &Pool{dial: dial, done: make(chan struct{}), conns: map[string]*peerConn{}}
+	p.metrics = newPoolMetrics(set, p)
+	return p
 }
 
 // CallOption modifies a single call.
@@ -87,11 +95,11 @@
 	if err != nil {
 		return &Error{Kind: FailureNotSent, Method: method, Err: err}
 	}
-	client, err := pc.connect(ctx, p.dial)
+	client, err := pc.connect(ctx, p)
 	if err != nil {
 		return &Error{Kind: FailureNotSent, Method: method, Err: err}
 	}
-	callCtx := ctx
+	callCtx, began := ctx, time.Since(processStart)
 	if len(opts) > 0 && opts[0] == FailWhenSilent {
 		var done func()
 		callCtx, done = pc.withSilenceTimeout(ctx, p, client)
@@ -101,7 +109,33 @@
 	if err == nil {
 		return nil
 	}
-	return &Error{Kind: pc.classifyFailure(ctx, callCtx, client, err), Method: method, Err: err}
+	failed := &Error{Kind: pc.classifyFailure(ctx, callCtx, client, err), Method: method, Err: err}
+	failed.OpenFor, failed.SilentFor = pc.ages()
+	if failed.Kind != FailureRemote && time.Duration(pc.lastRecv.Load()) < began {
+		p.metrics.unanswered.Inc()
+	}
+	return failed
+}
+
+// ages returns how long the connection has been open and how long ago the peer last sent a message on it.
+func (pc *peerConn) ages() (openFor, silentFor time.Duration) {
+	pc.mu.Lock()
+	defer pc.mu.Unlock()
+	return time.Since(pc.openedAt), time.Since(processStart) - time.Duration(pc.lastRecv.Load())
+}
+
+// openConnections returns the number of connections that have not ended.
+func (p *Pool) openConnections() (n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, pc := range p.conns {
+		pc.mu.Lock()
+		if pc.client != nil && !pc.client.IsStopped() {
+			n++
+		}
+		pc.mu.Unlock()
+	}
+	return n
 }
 
 func (p *Pool) connTo(address string) (*peerConn, error) {
@@ -140,7 +174,7 @@
 }
 
 // connect returns the open client or dials. Only one dial runs at a time per peer.
-func (pc *peerConn) connect(ctx context.Context, dial DialFunc) (*jrpc2.Client, error) {
+func (pc *peerConn) connect(ctx context.Context, p *Pool) (*jrpc2.Client, error) {
 	if c, err := pc.currentClient(); c != nil || err != nil {
 		return c, err
 	}
@@ -151,7 +185,7 @@
 	}
 	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	conn, err := dial(dialCtx, pc.address)
+	conn, err := p.dial(dialCtx, pc.address)
 	pc.mu.Lock()
 	defer pc.mu.Unlock()
 	if err != nil {
@@ -160,7 +194,8 @@
 		}
 		return nil, eris.Wrapf(err, "dial peer %s", pc.address)
 	}
-	pc.lastDialFailure = time.Time{}
+	p.metrics.opened.Inc()
+	pc.lastDialFailure, pc.openedAt = time.Time{}, time.Now()
 	pc.lastRecv.Store(int64(time.Since(processStart)))
 	pc.client = jrpc2.NewClient(&recvTimeChannel{Channel: newLineChannel(conn, writeTimeoutConn{conn}, acceptAll), lastRecv: &pc.lastRecv}, &jrpc2.ClientOptions{
 		OnCancel: func(cli *jrpc2.Client, rsp *jrpc2.Response) {
--- a/internal/peer/errors.go
+++ b/internal/peer/errors.go
@@ -1,5 +1,10 @@
 package peer
 
+import (
+	"fmt"
+	"time"
+)
+
 // FailureKind classifies a failed call between nodes.
 type FailureKind string
 
@@ -16,11 +21,18 @@
 	Kind   FailureKind
 	Method string
 	Err    error
+	// OpenFor and SilentFor tell how long the connection of the call had been open, and how long ago the peer last sent a
+	// message on it. Both are 0 when there was no connection.
+	OpenFor, SilentFor time.Duration
 }
 
 // Error implements the error interface.
 func (e *Error) Error() string {
-	return "peer: " + e.Method + ": " + string(e.Kind) + ": " + e.Err.Error()
+	text := "peer: " + e.Method + ": " + string(e.Kind) + ": " + e.Err.Error()
+	if e.OpenFor > 0 {
+		text += fmt.Sprintf(" (connection open for %d ms, nothing received for %d ms)", e.OpenFor.Milliseconds(), e.SilentFor.Milliseconds())
+	}
+	return text
 }
 
 // Unwrap returns the cause.
--- a/internal/published/reader.go
+++ b/internal/published/reader.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
 )
 
 // awaitReader waits up to StartDelay until membership knows a reader to follow, so that nodes which all start at once do not
@@ -47,10 +48,12 @@
 
 // skipReader records that a reader could not be followed and skips it for a while.
 func (f *Follower) skipReader(id string, err error) {
-	f.deps.Log.WithError(err).WithField("reader", id).Info("cannot follow the node that reads the store; trying the next one")
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.failuresInRow[id]++
+	f.deps.Log.WithError(err).WithFields(logrus.Fields{
+		"reader": id, "failures_in_row": f.failuresInRow[id], "revision": f.state.revision, "unconfirmed_ms": time.Since(f.confirmedAt).Milliseconds(),
+	}).Info("cannot follow the node that reads the store; trying the next one")
 	skip := minReaderSkip << min(f.failuresInRow[id]-1, maxReaderSkipDoublings)
 	f.skipUntil[id] = time.Now().Add(skip)
 }
