--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -136,13 +136,15 @@
 }
 
 // metric returns the value of a metric without labels, or 0 if there is none.
-func (n *node) metric(name string) int {
+func (n *node) metric(name string) int { return readMetric(n.fixture.g, n.set, name) }
+
+func readMetric(g *WithT, set *metrics.Set, name string) int {
 	var b bytes.Buffer
-	n.set.WritePrometheus(&b)
+	set.WritePrometheus(&b)
 	for line := range strings.Lines(b.String()) {
 		if value, ok := strings.CutPrefix(strings.TrimSpace(line), name+" "); ok {
 			number, err := strconv.Atoi(value)
-			n.fixture.g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(err).NotTo(HaveOccurred())
 			return number
 		}
 	}
--- a/internal/published/follower_test.go
+++ b/internal/published/follower_test.go
@@ -274,3 +274,86 @@
 	g.Expect(follower.view().Version()).To(BeEquivalentTo(2))
 	g.Expect(s.delta(9001).Updates).To(BeEmpty())
 }
+
+// rankedPeers are readers in a fixed order, all of which hang but those in answering.
+type rankedPeers struct {
+	fakePeers
+	ids       []string
+	mu        sync.Mutex // guards answering
+	answering map[string]*Follower
+}
+
+func (p *rankedPeers) HighestVersions() (uint64, uint64) { return 0, 0 }
+
+func (p *rankedPeers) Reader(skip func(string) bool) (string, bool) {
+	for _, id := range p.ids {
+		if !skip(id) {
+			return id, true
+		}
+	}
+	return "", false
+}
+
+func (p *rankedPeers) Watch(ctx context.Context, id string, revision uint64, wait time.Duration) (Delta, error) {
+	p.mu.Lock()
+	reader := p.answering[id]
+	p.mu.Unlock()
+	if reader == nil {
+		<-ctx.Done()
+		return Delta{}, ctx.Err()
+	}
+	return reader.WaitForDelta(ctx, revision, wait), nil
+}
+
+func (p *rankedPeers) set(answering map[string]*Follower) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.answering = answering
+}
+
+// Guards against a node that asks one silent reader after another, and the first ones again, while the store would answer: a
+// change must be in force within 3 s however many readers are silent.
+func TestSilentReadersDelayNoChange(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		source := &fakeSource{listing: Listing{Updates: []Update{targetUpdate(1, "a")}, AsOf: 1}, asOf: 1}
+		reader := startFollower(t, source, nil)
+		time.Sleep(100 * time.Millisecond)
+		peers := &rankedPeers{ids: []string{"a", "b", "c", "d", "e", "f", "g", "h", "i", "j", "k", "l"}}
+		peers.set(map[string]*Follower{"a": reader})
+		f := startFollower(t, source, peers)
+		time.Sleep(5 * time.Second)
+		peers.set(nil)
+		source.set(func(s *fakeSource) { s.changes, s.asOf = []Update{{Revision: 2, Configuration: configVersion(4)}}, 2 })
+		time.Sleep(3 * time.Second)
+		g.Expect(f.View().Version()).To(BeEquivalentTo(4))
+		for at := uint64(3); at < 6; at++ { // the readers stay silent
+			time.Sleep(5 * time.Second)
+			source.set(func(s *fakeSource) {
+				s.changes, s.asOf = []Update{{Revision: at, Configuration: configVersion(10 * at)}}, at
+			})
+			time.Sleep(3 * time.Second)
+			g.Expect(f.View().Version()).To(Equal(10 * at))
+		}
+	})
+}
+
+// Guards against a node that the store turns away and that no longer asks the readers because of it.
+func TestReaderIsFoundWhileTheStoreTurnsTheNodeAway(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		source := &fakeSource{listing: Listing{Updates: []Update{targetUpdate(1, "a")}, AsOf: 1}, asOf: 1}
+		reader := startFollower(t, source, nil)
+		time.Sleep(100 * time.Millisecond)
+		peers := &rankedPeers{ids: []string{"a", "b", "c", "d", "e", "f"}}
+		peers.set(map[string]*Follower{"a": reader})
+		own := &fakeSource{listing: source.listing, asOf: 1}
+		f := startFollower(t, own, peers)
+		time.Sleep(5 * time.Second)
+		own.set(func(s *fakeSource) { s.err = errors.New("turned away") })
+		peers.set(map[string]*Follower{"f": reader}) // the last one in the ranking
+		source.set(func(s *fakeSource) { s.changes, s.asOf = []Update{{Revision: 2, Configuration: configVersion(4)}}, 2 })
+		time.Sleep(6 * time.Second)
+		g.Expect(f.View().Version()).To(BeEquivalentTo(4))
+	})
+}
--- a/internal/standin/netsim/conn.go
+++ b/internal/standin/netsim/conn.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -12,6 +13,7 @@
 	net.Conn
 	network  *Network
 	from, to string
+	silent   atomic.Bool // the connection delivers nothing any more
 
 	out, in *pipe
 }
@@ -111,7 +113,7 @@
 	}
 }
 
-func (c *conn) isPartitioned() bool { return c.network.isPartitioned(c.from, c.to) }
+func (c *conn) isPartitioned() bool { return c.silent.Load() || c.network.isPartitioned(c.from, c.to) }
 
 // pumpOut writes the chunks of the out pipe to the underlying connection when they are due.
 func (c *conn) pumpOut() {
--- a/internal/standin/netsim/netsim.go
+++ b/internal/standin/netsim/netsim.go
@@ -67,6 +67,20 @@
 	}
 }
 
+// Silence makes a random share of the open connections between different locations deliver nothing for good. They stay open,
+// and new connections work. It returns the number of connections that it silenced.
+func (n *Network) Silence(share float64) (silenced int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for c := range n.conns {
+		if n.rnd.Float64() < share {
+			c.silent.Store(true)
+			silenced++
+		}
+	}
+	return silenced
+}
+
 // locationPair returns the same key for (a, b) and (b, a).
 func locationPair(a, b string) [2]string {
 	if a > b {
