Replace a peer connection that no longer delivers

Cause: the pool kept a connection until a write failed or the kernel ended it. A call that got no answer left its connection in the pool, and each further call to that node went down the same dead connection.

Change: a call that ended with nothing received since it began, after 150 ms or more, starts a probe, one ping. Without an answer in 250 ms the connection is replaced: new calls open another, those in progress keep it until they end, so a slow peer still delivers. Calls that begin during a probe wait for it. A probe during which this process did not run is repeated. Silence that a search found replaces the connection at once. Commands and ticket runs, which must not be repeated, are sent only on a connection that carried a message in the last 500 ms, or after a ping: lost on a dead one, their outcome would be unknown.

Why it works: the proof of silence is remembered for the connection, not only for the call, and a new connection works.

--- a/internal/entry/command.go
+++ b/internal/entry/command.go
@@ -57,7 +57,7 @@
 	req.TimeoutMS = (budget - answerReserve).Milliseconds()
 	req.Traceparent = e.deps.Tracing.Inject(ctx)
 	var result peer.TicketRunResult
-	if err := e.deps.Peers.Call(ctx, address, peer.MethodTicketRun, req, &result); err != nil {
+	if err := e.deps.Peers.Call(ctx, address, peer.MethodTicketRun, req, &result, peer.Confirmed); err != nil {
 		e.deps.Log.WithField("request_id", c.RequestID).WithField("owner", t.NodeID).WithError(err).Warn("cannot reach the owner of a ticket")
 		return api.CommandResult{}, unknownOutcome(api.CodeUnreachable, "the node that issued the ticket did not answer; send the command again with the same ticket")
 	}
@@ -157,7 +157,7 @@
 	defer cancel()
 	req.Traceparent = e.deps.Tracing.Inject(ctx)
 	var result api.CommandResult
-	err := e.deps.Peers.Call(ctx, relay.Address, peer.MethodCommand, req, &result)
+	err := e.deps.Peers.Call(ctx, relay.Address, peer.MethodCommand, req, &result, peer.Confirmed)
 	if err == nil {
 		return result
 	}
--- a/internal/gateway/core.go
+++ b/internal/gateway/core.go
@@ -73,7 +73,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "load state charts")
 	}
-	c := &core{cfg: cfg, deps: deps, crashCounter: quarantine.NewCrashCounter(), peers: peer.NewPool(deps.DialPeer, deps.MetricsSet), lifecycle: charts.Node.NewMachine()}
+	c := &core{cfg: cfg, deps: deps, crashCounter: quarantine.NewCrashCounter(), peers: peer.NewPool(peer.PoolConfig{Dial: deps.DialPeer, Metrics: deps.MetricsSet, Log: deps.Log}), lifecycle: charts.Node.NewMachine()}
 	c.engine = query.New(query.Config{Domain: cfg.Domain, Regions: cfg.Regions, Budget: cfg.Budget, Bootstrap: cfg.Bootstrap,
 		ResponseMemoryBytes: int64(responseMemoryShare * float64(cfg.MemoryLimitBytes)),
 	}, query.Deps{
--- a/internal/measure/wire.go
+++ b/internal/measure/wire.go
@@ -111,7 +111,7 @@
 		func(context.Context, peer.LegRequest) (peer.LegResult, error) { return result, nil })}, nil)
 	done := make(chan error, 1)
 	go func() { done <- s.Serve() }()
-	pool := peer.NewPool(nil, nil)
+	pool := peer.NewPool(peer.PoolConfig{})
 	request := legRequest(assignments, 0)
 	var lastErr error
 	c := measureRepeated(o.searchesPerRun(parts), func() {
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -54,7 +54,7 @@
 	c := &core{
 		cfg: cfg, deps: deps, identity: id,
 		log:      deps.Log.WithFields(logrus.Fields{"node": cfg.ID, "domain": cfg.Domain}),
-		topology: topology.NewHolder(), peers: peer.NewPool(deps.DialPeer, deps.Metrics), guard: quarantine.NewGuard(0),
+		topology: topology.NewHolder(), peers: peer.NewPool(peer.PoolConfig{Dial: deps.DialPeer, Metrics: deps.Metrics, Log: deps.Log.WithField("node", cfg.ID)}), guard: quarantine.NewGuard(0),
 	}
 	charts, err := statechart.NewCharts(deps.Metrics)
 	if err != nil {
--- a/internal/node/directory.go
+++ b/internal/node/directory.go
@@ -142,7 +142,7 @@
 	var result api.CommandResult
 	address, err := d.homeAddress(domain, req.Command.Group, peer.MethodCommand)
 	if err == nil {
-		err = d.peers.Call(ctx, address, peer.MethodCommand, req, &result)
+		err = d.peers.Call(ctx, address, peer.MethodCommand, req, &result, peer.Confirmed)
 	}
 	return result, err
 }
--- a/internal/peer/bounds_test.go
+++ b/internal/peer/bounds_test.go
@@ -39,7 +39,7 @@
 
 // expectServed calls the method that answers, on a new connection; a nil dial dials TCP.
 func expectServed(g *WithT, address string, dial peer.DialFunc) {
-	pool := peer.NewPool(dial, nil)
+	pool := peer.NewPool(peer.PoolConfig{Dial: dial})
 	defer pool.Close()
 	var answer int
 	g.Expect(pool.Call(context.Background(), address, "echo", struct{}{}, &answer)).To(Succeed())
@@ -50,7 +50,7 @@
 func TestPanicInAPeerMessage(t *testing.T) {
 	g := NewWithT(t)
 	address := startServer(t)
-	pool := peer.NewPool(nil, nil)
+	pool := peer.NewPool(peer.PoolConfig{})
 	defer pool.Close()
 	var answer int
 	g.Expect(pool.Call(t.Context(), address, "panic", struct{}{}, &answer)).NotTo(Succeed())
@@ -94,7 +94,7 @@
 			_, err = io.WriteString(c, block)
 		}
 	}()
-	pool := peer.NewPool(nil, nil)
+	pool := peer.NewPool(peer.PoolConfig{})
 	defer pool.Close()
 	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
 	defer cancel()
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -4,29 +4,22 @@
 	"context"
 	"net"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/creachadair/jrpc2"
-	"github.com/creachadair/jrpc2/channel"
 	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
 )
 
 const (
 	// dialTimeout limits the setup of a connection; regions are at most tens of milliseconds apart.
 	dialTimeout = 500 * time.Millisecond
-	// pingInterval is the time between pings while calls with FailWhenSilent are outstanding.
-	pingInterval = 50 * time.Millisecond
-	// silenceTimeout is the time without any message after which a peer counts as lost for calls that may be retried at another
-	// peer. It is three ping intervals, so that one delayed answer does not cause a second run of the work.
-	silenceTimeout = 150 * time.Millisecond
 	// redialBackoff is the time after a failed dial in which calls to that address fail at once instead of dialling again.
 	redialBackoff = 200 * time.Millisecond
 )
 
 var (
-	errSilent        = eris.New("peer is silent while calls are outstanding")
 	errClosed        = eris.New("peer pool is closed")
 	errRedialBackoff = eris.New("dial failed a moment ago")
 )
@@ -34,192 +27,299 @@
 // DialFunc opens a connection to a peer.
 type DialFunc func(ctx context.Context, address string) (net.Conn, error)
 
-// Pool holds one connection per peer address.
+// PoolConfig holds the settings of a Pool. All of them may be left out.
+type PoolConfig struct {
+	Dial    DialFunc // nil dials TCP
+	Metrics *metrics.Set
+	Log     *logrus.Entry // nil logs nothing
+}
+
+// Pool holds one connection per peer address, and those that it has replaced until the calls on them have ended.
 type Pool struct {
-	dial    DialFunc
-	metrics *poolMetrics
-	done    chan struct{} // closed by Close
-	pingers sync.WaitGroup
+	dial       DialFunc
+	log        *logrus.Entry
+	metrics    *poolMetrics
+	done       chan struct{} // closed by Close
+	background sync.WaitGroup
 
-	mu     sync.Mutex // guards conns and closed
+	mu     sync.Mutex // guards conns and closed; it may be taken while mu of a peerConn is held
 	conns  map[string]*peerConn
 	closed bool
 }
 
-// peerConn is the connection to one peer. dialMu serialises dialling; mu guards client, lastDialFailure, waiters and
-// isPinging.
+// peerConn owns the connections to one peer. dialing holds a token while a dial is in progress; mu guards links,
+// lastDialFailure and the fields of the links that name it.
 type peerConn struct {
 	address string
-	dialMu  sync.Mutex
+	dialing chan struct{}
 
 	mu              sync.Mutex
-	client          *jrpc2.Client
-	openedAt        time.Time // when client was connected
+	current         *link          // the connection for new calls, nil for none
+	links           map[*link]bool // current and those replaced but still in use
 	lastDialFailure time.Time
-	waiters         map[*silenceWaiter]struct{}
-	isPinging       bool
-
-	lastRecv atomic.Int64 // monotonic nanoseconds since processStart
 }
 
-// silenceWaiter is a call in progress that fails when the peer falls silent.
-type silenceWaiter struct{ cancel context.CancelCauseFunc }
-
-// processStart is the origin of the times in lastRecv.
-var processStart = time.Now()
-
-// NewPool returns a pool that opens connections with dial; nil means plain TCP. A nil set keeps the metrics to the pool.
-func NewPool(dial DialFunc, set *metrics.Set) *Pool {
-	if dial == nil {
+// NewPool returns a pool without connections.
+func NewPool(cfg PoolConfig) *Pool {
+	if cfg.Dial == nil {
 		var d net.Dialer
-		dial = func(ctx context.Context, address string) (net.Conn, error) { return d.DialContext(ctx, "tcp", address) }
+		cfg.Dial = func(ctx context.Context, address string) (net.Conn, error) { return d.DialContext(ctx, "tcp", address) }
 	}
-	if set == nil {
-		set = metrics.NewSet()
+	if cfg.Metrics == nil {
+		cfg.Metrics = metrics.NewSet()
 	}
-	p := &Pool{dial: dial, done: make(chan struct{}), conns: map[string]*peerConn{}}
-	p.metrics = newPoolMetrics(set, p)
+	p := &Pool{dial: cfg.Dial, log: cfg.Log, done: make(chan struct{}), conns: map[string]*peerConn{}}
+	p.metrics = newPoolMetrics(cfg.Metrics, p)
 	return p
 }
 
 // CallOption modifies a single call.
 type CallOption int
 
-// FailWhenSilent makes a call fail with FailureLost when the peer sends nothing for silenceTimeout. It is for calls that may
-// be retried at another peer; a command must not use it, because its outcome would become unknown without need.
-const FailWhenSilent CallOption = 1
+const (
+	// FailWhenSilent makes a call fail with FailureLost when the peer sends nothing for silenceTimeout. It is for calls that may
+	// be retried at another peer; a command must not use it, because its outcome would become unknown without need.
+	FailWhenSilent CallOption = 1 + iota
+	// Confirmed sends a call only on a connection that has just carried a message of the peer. It is for calls that must not be
+	// repeated: one that is lost on a dead connection would have an unknown outcome.
+	Confirmed
+)
 
 // Call sends one request and decodes its result. Errors are *Error.
 func (p *Pool) Call(ctx context.Context, address, method string, params, result any, opts ...CallOption) error {
+	var option CallOption
+	if len(opts) > 0 {
+		option = opts[0]
+	}
 	pc, err := p.connTo(address)
 	if err != nil {
 		return &Error{Kind: FailureNotSent, Method: method, Err: err}
 	}
-	client, err := pc.connect(ctx, p)
+	l, err := pc.acquire(ctx, p, option == Confirmed)
 	if err != nil {
 		return &Error{Kind: FailureNotSent, Method: method, Err: err}
 	}
-	callCtx, began := ctx, time.Since(processStart)
-	if len(opts) > 0 && opts[0] == FailWhenSilent {
+	defer pc.release(l)
+	callCtx, began, received := ctx, time.Now(), l.messages.Load()
+	if option == FailWhenSilent {
 		var done func()
-		callCtx, done = pc.withSilenceTimeout(ctx, p, client)
+		callCtx, done = pc.withSilenceTimeout(ctx, p, l)
 		defer done()
 	}
-	err = client.CallResult(callCtx, method, params, result)
+	err = l.client.CallResult(callCtx, method, params, result)
 	if err == nil {
 		return nil
 	}
-	failed := &Error{Kind: pc.classifyFailure(ctx, callCtx, client, err), Method: method, Err: err}
-	failed.OpenFor, failed.SilentFor = pc.ages()
-	if failed.Kind != FailureRemote && time.Duration(pc.lastRecv.Load()) < began {
+	failed := &Error{Kind: classifyFailure(ctx, callCtx, l.client, err), Method: method, Err: err}
+	failed.OpenFor, failed.SilentFor = time.Since(l.openedAt), l.silentFor()
+	if failed.Kind != FailureRemote && l.messages.Load() == received {
 		p.metrics.unanswered.Inc()
+		if time.Since(began) >= silenceTimeout {
+			pc.probe(p, l)
+		}
 	}
 	return failed
 }
 
-// ages returns how long the connection has been open and how long ago the peer last sent a message on it.
-func (pc *peerConn) ages() (openFor, silentFor time.Duration) {
-	pc.mu.Lock()
-	defer pc.mu.Unlock()
-	return time.Since(pc.openedAt), time.Since(processStart) - time.Duration(pc.lastRecv.Load())
+func (p *Pool) connTo(address string) (*peerConn, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return nil, errClosed
+	}
+	pc := p.conns[address]
+	if pc == nil {
+		pc = &peerConn{address: address, dialing: make(chan struct{}, 1), links: map[*link]bool{}}
+		p.conns[address] = pc
+	}
+	return pc, nil
 }
 
-// openConnections returns the number of connections that have not ended.
-func (p *Pool) openConnections() (n int) {
+// goUnlessClosed runs fn in the background, unless the pool is closed.
+func (p *Pool) goUnlessClosed(fn func()) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, pc := range p.conns {
+	if p.closed {
+		return false
+	}
+	p.background.Go(fn)
+	return true
+}
+
+// openConnections returns the number of connections that have not ended.
+func (p *Pool) openConnections() (n int) {
+	for _, pc := range p.peerConns() {
 		pc.mu.Lock()
-		if pc.client != nil && !pc.client.IsStopped() {
-			n++
+		for l := range pc.links {
+			if !l.client.IsStopped() {
+				n++
+			}
 		}
 		pc.mu.Unlock()
 	}
 	return n
 }
 
-func (p *Pool) connTo(address string) (*peerConn, error) {
+func (p *Pool) peerConns() []*peerConn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed {
-		return nil, errClosed
-	}
-	pc := p.conns[address]
-	if pc == nil {
-		pc = &peerConn{address: address, waiters: map[*silenceWaiter]struct{}{}}
-		p.conns[address] = pc
+	conns := make([]*peerConn, 0, len(p.conns))
+	for _, pc := range p.conns {
+		conns = append(conns, pc)
 	}
-	return pc, nil
+	return conns
 }
 
 // Close closes all connections; calls in flight fail.
 func (p *Pool) Close() {
+	conns := p.peerConns()
 	p.mu.Lock()
 	if !p.closed {
 		close(p.done)
 	}
 	p.closed = true
-	conns := p.conns
 	p.conns = map[string]*peerConn{}
 	p.mu.Unlock()
 	for _, pc := range conns {
 		pc.mu.Lock()
-		c := pc.client
+		var open []*jrpc2.Client
+		for l := range pc.links {
+			open = append(open, l.client)
+		}
 		pc.mu.Unlock()
-		if c != nil {
+		for _, c := range open {
 			c.Close()
 		}
 	}
-	p.pingers.Wait()
+	p.background.Wait()
+}
+
+// acquire returns the connection for a call, dialling if there is none, and counts the call on it. With confirmed set, the
+// connection has just carried a message of the peer.
+func (pc *peerConn) acquire(ctx context.Context, p *Pool, confirmed bool) (*link, error) {
+	for {
+		l, probing, err := pc.take(confirmed)
+		switch {
+		case l != nil || err != nil:
+			return l, err
+		case probing == nil:
+			if err := pc.connect(ctx, p); err != nil {
+				return nil, err
+			}
+			continue
+		}
+		// The peer has not answered a call, or must be heard from first: the probe decides on the connection.
+		if !probing.started {
+			if !pc.probe(p, probing.link) {
+				return nil, errClosed
+			}
+			continue
+		}
+		select {
+		case <-probing.ended:
+		case <-ctx.Done():
+			return nil, eris.Wrapf(ctx.Err(), "peer %s is silent", pc.address)
+		}
+	}
+}
+
+// pendingProbe is what a call must wait for before it may use a connection.
+type pendingProbe struct {
+	link    *link
+	started bool
+	ended   <-chan struct{} // closed at the end of a started probe
 }
 
-// connect returns the open client or dials. Only one dial runs at a time per peer.
-func (pc *peerConn) connect(ctx context.Context, p *Pool) (*jrpc2.Client, error) {
-	if c, err := pc.currentClient(); c != nil || err != nil {
-		return c, err
+// take returns the open connection and counts a call on it. It returns a pendingProbe instead while the connection is in doubt,
+// nothing when a new connection is needed, and an error while dialling is suspended after a failure.
+func (pc *peerConn) take(confirmed bool) (*link, *pendingProbe, error) {
+	pc.mu.Lock()
+	defer pc.mu.Unlock()
+	l := pc.current
+	switch {
+	case l == nil || l.client.IsStopped():
+		if !pc.lastDialFailure.IsZero() && time.Since(pc.lastDialFailure) < redialBackoff {
+			return nil, nil, errRedialBackoff
+		}
+		return nil, nil, nil
+	case l.probeEnded != nil:
+		return nil, &pendingProbe{link: l, started: true, ended: l.probeEnded}, nil
+	case confirmed && l.silentFor() > confirmationAge:
+		return nil, &pendingProbe{link: l}, nil
 	}
-	pc.dialMu.Lock()
-	defer pc.dialMu.Unlock()
-	if c, err := pc.currentClient(); c != nil || err != nil {
-		return c, err
+	l.calls++
+	return l, nil, nil
+}
+
+// release ends a call on a connection and closes the connection if it was the last call on a replaced one.
+func (pc *peerConn) release(l *link) {
+	pc.mu.Lock()
+	l.calls--
+	unused := pc.dropUnused(l)
+	pc.mu.Unlock()
+	if unused {
+		l.client.Close()
+	}
+}
+
+// dropUnused forgets a connection that takes no more calls and has none, and reports whether it did. The caller must hold mu.
+func (pc *peerConn) dropUnused(l *link) bool {
+	if pc.current == l || l.calls > 0 || !pc.links[l] {
+		return false
+	}
+	delete(pc.links, l)
+	return true
+}
+
+// connect dials unless another call has connected meanwhile. Only one dial runs at a time per peer.
+func (pc *peerConn) connect(ctx context.Context, p *Pool) error {
+	select {
+	case pc.dialing <- struct{}{}:
+		defer func() { <-pc.dialing }()
+	case <-ctx.Done():
+		return eris.Wrapf(ctx.Err(), "dial peer %s", pc.address)
+	}
+	if connected, err := pc.connected(); connected || err != nil {
+		return err
 	}
 	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	conn, err := p.dial(dialCtx, pc.address)
 	pc.mu.Lock()
-	defer pc.mu.Unlock()
 	if err != nil {
 		if ctx.Err() == nil {
 			pc.lastDialFailure = time.Now()
 		}
-		return nil, eris.Wrapf(err, "dial peer %s", pc.address)
+		pc.mu.Unlock()
+		return eris.Wrapf(err, "dial peer %s", pc.address)
 	}
 	p.metrics.opened.Inc()
-	pc.lastDialFailure, pc.openedAt = time.Time{}, time.Now()
-	pc.lastRecv.Store(int64(time.Since(processStart)))
-	pc.client = jrpc2.NewClient(&recvTimeChannel{Channel: newLineChannel(conn, writeTimeoutConn{conn}, acceptAll), lastRecv: &pc.lastRecv}, &jrpc2.ClientOptions{
-		OnCancel: func(cli *jrpc2.Client, rsp *jrpc2.Response) {
-			go cli.Notify(context.Background(), methodCancel, cancelParams{ID: rsp.ID()})
-		},
-	})
-	return pc.client, nil
+	ended := pc.current
+	pc.lastDialFailure, pc.current = time.Time{}, newLink(conn)
+	pc.links[pc.current] = true
+	unused := ended != nil && pc.dropUnused(ended)
+	pc.mu.Unlock()
+	if unused {
+		ended.client.Close()
+	}
+	return nil
 }
 
-// currentClient returns the open client, nil if there is none, or an error while dialling is suspended after a failure.
-func (pc *peerConn) currentClient() (*jrpc2.Client, error) {
+// connected reports whether there is an open connection. It returns an error while dialling is suspended after a failure.
+func (pc *peerConn) connected() (bool, error) {
 	pc.mu.Lock()
 	defer pc.mu.Unlock()
-	if pc.client != nil && !pc.client.IsStopped() {
-		return pc.client, nil
+	if pc.current != nil && !pc.current.client.IsStopped() {
+		return true, nil
 	}
 	if !pc.lastDialFailure.IsZero() && time.Since(pc.lastDialFailure) < redialBackoff {
-		return nil, errRedialBackoff
+		return false, errRedialBackoff
 	}
-	return nil, nil
+	return false, nil
 }
 
 // classifyFailure returns the kind of a failed call. callCtx is the context of the call, ctx that of its caller.
-func (pc *peerConn) classifyFailure(ctx, callCtx context.Context, client *jrpc2.Client, err error) FailureKind {
+func classifyFailure(ctx, callCtx context.Context, client *jrpc2.Client, err error) FailureKind {
 	switch {
 	case context.Cause(callCtx) == errSilent:
 		return FailureLost
@@ -235,78 +335,3 @@
 		return FailureLost
 	}
 }
-
-// withSilenceTimeout returns a context that ends with errSilent when the peer falls silent, and a function that releases it.
-func (pc *peerConn) withSilenceTimeout(ctx context.Context, p *Pool, client *jrpc2.Client) (context.Context, func()) {
-	callCtx, cancel := context.WithCancelCause(ctx)
-	w := &silenceWaiter{cancel: cancel}
-	pc.mu.Lock()
-	if len(pc.waiters) == 0 {
-		pc.lastRecv.Store(int64(time.Since(processStart)))
-	}
-	pc.waiters[w] = struct{}{}
-	if !pc.isPinging {
-		pc.isPinging = true
-		p.pingers.Go(func() { pc.pingLoop(client, p.done) })
-	}
-	pc.mu.Unlock()
-	return callCtx, func() {
-		pc.mu.Lock()
-		delete(pc.waiters, w)
-		pc.mu.Unlock()
-		cancel(nil)
-	}
-}
-
-// pingLoop pings while calls are waiting and fails them all when the peer is silent.
-func (pc *peerConn) pingLoop(client *jrpc2.Client, done <-chan struct{}) {
-	ticker := time.NewTicker(pingInterval)
-	defer ticker.Stop()
-	lastTick := time.Now()
-	for {
-		select {
-		case <-ticker.C:
-		case <-done:
-			return
-		}
-		now := time.Now()
-		paused := now.Sub(lastTick) > 2*pingInterval
-		lastTick = now
-		pc.mu.Lock()
-		if len(pc.waiters) == 0 || client != pc.client || client.IsStopped() {
-			pc.isPinging = false
-			pc.mu.Unlock()
-			return
-		}
-		if paused {
-			// This process itself did not run, so the silence says nothing about the peer.
-			pc.lastRecv.Store(int64(time.Since(processStart)))
-		}
-		if time.Since(processStart)-time.Duration(pc.lastRecv.Load()) > silenceTimeout {
-			for w := range pc.waiters {
-				w.cancel(errSilent)
-			}
-		}
-		pc.mu.Unlock()
-		go func() {
-			pingCtx, cancel := context.WithTimeout(context.Background(), silenceTimeout)
-			defer cancel()
-			_, _ = client.Call(pingCtx, methodPing, nil) // recvTimeChannel records the time of the answer
-		}()
-	}
-}
-
-// recvTimeChannel stores in lastRecv when a message was last received.
-type recvTimeChannel struct {
-	channel.Channel
-	lastRecv *atomic.Int64
-}
-
-// Recv implements channel.Channel.
-func (r *recvTimeChannel) Recv() ([]byte, error) {
-	msg, err := r.Channel.Recv()
-	if err == nil {
-		r.lastRecv.Store(int64(time.Since(processStart)))
-	}
-	return msg, err
-}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -67,7 +67,7 @@
 
 func newHarness(methods handler.Map) *harness {
 	l := newPipeListener()
-	h := &harness{listener: l, server: peer.NewServer(l, methods, nil), pool: peer.NewPool(l.dial, nil)}
+	h := &harness{listener: l, server: peer.NewServer(l, methods, nil), pool: peer.NewPool(peer.PoolConfig{Dial: l.dial})}
 	go h.server.Serve()
 	return h
 }
@@ -102,7 +102,7 @@
 	virtualtime.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		l := newPipeListener()
-		pool := peer.NewPool(l.dial, nil)
+		pool := peer.NewPool(peer.PoolConfig{Dial: l.dial})
 		silent := make(chan net.Conn, 1)
 		go func() {
 			conn, _ := l.Accept()
@@ -199,7 +199,7 @@
 		server := peer.NewServer(l, handler.Map{"echo": handler.New(func(context.Context) (int, error) { return 1, nil })}, nil)
 		served := make(chan error, 1)
 		go func() { served <- server.Serve() }()
-		pool := peer.NewPool(nil, nil)
+		pool := peer.NewPool(peer.PoolConfig{})
 		ctx, cancel := context.WithCancel(t.Context())
 		var callers sync.WaitGroup
 		var calls atomic.Int64
