Drop idle connections to the store after one that was silent

A node that reads the store itself can lose two reads in a row, each for its whole time.

Cause: net/http closes the connection of a request that timed out, but keeps the other idle ones, which went silent at the same moment. The next read takes one of them.

Why it works: what is kept after a failure was opened after it.

--- a/internal/configservice/client.go
+++ b/internal/configservice/client.go
@@ -172,11 +172,13 @@
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
+		c.http.CloseIdleConnections() // they may be as dead as the one of this request
 		return nil, c.countFailure(transportError(key, err))
 	}
 	defer func() { _ = resp.Body.Close() }()
 	b, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
 	if err != nil {
+		c.http.CloseIdleConnections()
 		return nil, c.countFailure(transportError(key, err))
 	}
 	if e := statusError(key, resp.StatusCode, len(b)); e != nil {
--- a/internal/configservice/client_test.go
+++ b/internal/configservice/client_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"sync"
 	"testing"
 	"time"
 
@@ -11,6 +12,7 @@
 	"github.com/medlarshunt/medlarshunt/internal/config"
 	"github.com/medlarshunt/medlarshunt/internal/configservice"
 	"github.com/medlarshunt/medlarshunt/internal/standin/configservicesim"
+	"github.com/medlarshunt/medlarshunt/internal/standin/netsim"
 )
 
 func TestConfigService(t *testing.T) {
@@ -58,6 +60,27 @@
 		Expect(list.Instances).To(Equal([]configservice.Instance{in}))
 	})
 
+	// Guards against a second read that is lost like the first one: connections that were idle together go silent together.
+	It("drops idle connections after a silent one", func(ctx SpecContext) {
+		network := netsim.New(0, 0, 1)
+		s, c := startPlatform(func(cfg *configservice.Config) {
+			cfg.Dial, cfg.Timeout = network.Dialer("node"), 400*time.Millisecond
+			network.SetLocation(cfg.Address, "platform")
+		})
+		want := publish(s, "one")
+		s.SetFaults(configservicesim.Faults{SlowMS: 50})
+		var reads sync.WaitGroup
+		for range 2 {
+			reads.Go(func() { _, _ = c.Get(ctx, config.KeyManifest) })
+		}
+		reads.Wait()
+		s.SetFaults(configservicesim.Faults{})
+		Expect(network.Silence(1)).To(Equal(2))
+		_, err := c.Get(ctx, config.KeyManifest)
+		Expect(err).To(HaveOccurred())
+		Expect(c.Get(ctx, config.KeyManifest)).To(Equal(want))
+	})
+
 	// Guards against a watch that misses a change, and against polling: one watch counts as one call.
 	It("watches for a newer revision with one call", func(ctx SpecContext) {
 		s, c := startPlatform(nil)
