Bound the time that a node goes without an answer of a reader

A node went through the readers of its failure domain for 22 s without reaching one that answered, while the store answered others at once.

Cause: a node asked one reader after another for 1.3 s each, skipped each for 2 s, and so came back to the first ones before it had tried them all. It read the store only when all were skipped. Nothing bounded the time without an answer, whatever the reason for which readers do not answer; dead connections made it visible.

Ruled out: a larger skip alone (each further reader still costs 1.3 s), and the shorter watch alone (the order still comes back).

Change: after two thirds of the time in which a configuration must be in force, a node that no reader has answered reads the store itself, with a short watch, and asks readers again between failed reads, so that a node that the store turns away still finds a reader. Watches are short while no reader answers; a reader that stopped answering during a long watch is asked once more, since its connection may have been dead. A watch is sent on a connection that has just carried a message. A node whose state is too old to be followed confirms it with a short watch of the store.

Why it works: the way to the store no longer depends on the order of the readers or on how many of them are silent.

--- a/internal/gateway/core.go
+++ b/internal/gateway/core.go
@@ -90,6 +90,7 @@
 	followerConfig := published.DefaultConfig()
 	if cfg.ApplyTimeout > 0 {
 		followerConfig.WatchWait = cfg.ApplyTimeout / 2
+		followerConfig.ContactLimit = cfg.ApplyTimeout * 2 / 3
 	}
 	if cfg.Bootstrap {
 		followerConfig.StartDelay = bootstrapDelay
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -113,7 +113,7 @@
 	if !ok {
 		return d, errNoPeer
 	}
-	err := p.peers.Call(ctx, m.Address, peer.MethodWatchState, watchRequest{Revision: revision, WaitMS: wait.Milliseconds()}, &d)
+	err := p.peers.Call(ctx, m.Address, peer.MethodWatchState, watchRequest{Revision: revision, WaitMS: wait.Milliseconds()}, &d, peer.Confirmed)
 	return d, err
 }
 
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -81,7 +81,7 @@
 	// be retried at another peer; a command must not use it, because its outcome would become unknown without need.
 	FailWhenSilent CallOption = 1 + iota
 	// Confirmed sends a call only on a connection that has just carried a message of the peer. It is for calls that must not be
-	// repeated: one that is lost on a dead connection would have an unknown outcome.
+	// repeated, whose outcome would be unknown after they were lost on a dead connection, and for calls that wait long.
 	Confirmed
 )
 
--- a/internal/published/follower.go
+++ b/internal/published/follower.go
@@ -53,6 +53,9 @@
 	PeerCheckInterval time.Duration
 	// StartDelay is how long a starting node looks for a reader to follow before it reads the store itself.
 	StartDelay time.Duration
+	// ContactLimit is how long a node goes without an answer, of a reader or of the store, before it reads the store itself
+	// although there are readers left to ask.
+	ContactLimit time.Duration
 }
 
 // Defaults of Config. A change must be in force 3 s after its acknowledgement, so a silent connection must be found and
@@ -62,6 +65,7 @@
 	DefaultWatchGrace        = 600 * time.Millisecond
 	DefaultListTimeout       = 800 * time.Millisecond
 	DefaultPeerCheckInterval = 250 * time.Millisecond
+	DefaultContactLimit      = 2 * time.Second
 )
 
 const (
@@ -79,8 +83,14 @@
 	// failure in a row, at most maxReaderSkipDoublings times: a frozen reader costs its followers the whole wait each time.
 	minReaderSkip          = 2 * time.Second
 	maxReaderSkipDoublings = 4
-	// readerRetryWait is the wait of a watch at a reader that could not be followed the last time.
-	readerRetryWait = 100 * time.Millisecond
+	// readerRetryWait is the wait of a watch at a reader that could not be followed the last time, or while no reader answers, and
+	// readerRetryGrace how much longer its answer may take: the dead connection to the reader may have to be replaced first.
+	readerRetryWait  = 100 * time.Millisecond
+	readerRetryGrace = 450 * time.Millisecond
+	// storeCheckWait is the wait of a watch of the store when the known state is too old to be followed, and storeCheckGrace how
+	// much longer its answer may take.
+	storeCheckWait  = 100 * time.Millisecond
+	storeCheckGrace = 400 * time.Millisecond
 	// coalesceDelay is the delay after an answer with changes. Targets register one after another; without it, each
 	// registration would cost a call of the store.
 	coalesceDelay = 150 * time.Millisecond
@@ -93,7 +103,7 @@
 func DefaultConfig() Config {
 	return Config{
 		WatchWait: DefaultWatchWait, WatchGrace: DefaultWatchGrace, ListTimeout: DefaultListTimeout,
-		PeerCheckInterval: DefaultPeerCheckInterval,
+		PeerCheckInterval: DefaultPeerCheckInterval, ContactLimit: DefaultContactLimit,
 	}
 }
 
@@ -118,12 +128,16 @@
 
 	cancelWatch atomic.Pointer[context.CancelFunc] // cancels the watch in progress
 
-	startedAt time.Time // used by followChanges only
+	// Used by followChanges only.
+	startedAt    time.Time
+	storeRetryAt time.Time // the store is not read before
+	hurried      bool      // the last watch at a reader was a short one
 
 	mu        panics.Mutex // guards the fields below and the order of OnChange calls
 	state     *state
 	storeLost bool // the last read of the store failed
 
+	contactAt     time.Time            // when a reader that can be followed, or the store, last answered
 	confirmedAt   time.Time            // when the store last confirmed the state, directly or to a reader
 	skipUntil     map[string]time.Time // readers that could not be followed, with the end of their skip
 	failuresInRow map[string]int       // how often in a row each reader could not be followed
@@ -167,14 +181,17 @@
 func (f *Follower) followChanges(ctx context.Context) {
 	f.startedAt = time.Now()
 	f.awaitReader(ctx)
+	f.recordContact()
 	backoff, listed := minBackoff, false
 	for ctx.Err() == nil {
-		reader, following := f.currentReader()
+		reader, following := f.chooseReader()
 		var err error
 		switch {
 		case following:
 			err = f.followReader(ctx, reader)
 			listed = listed || err == nil && f.View().Revision > 0
+		case !sleep(ctx, time.Until(f.storeRetryAt)):
+			return
 		case !listed:
 			err = f.listStore(ctx)
 			listed = err == nil
@@ -194,9 +211,7 @@
 			f.skipReader(reader, err)
 		default:
 			f.recordStoreFailure(err)
-			if !sleep(ctx, backoff/2+rand.N(backoff)) {
-				return
-			}
+			f.storeRetryAt = time.Now().Add(backoff/2 + rand.N(backoff))
 			backoff = min(2*backoff, f.backoffLimit())
 		}
 	}
@@ -219,11 +234,15 @@
 }
 
 func (f *Follower) watchStore(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, f.cfg.WatchWait+f.cfg.WatchGrace)
+	wait, grace := f.cfg.WatchWait, f.cfg.WatchGrace
+	if f.sinceConfirmation() >= f.maxConfirmationAge() {
+		wait, grace = storeCheckWait, storeCheckGrace
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+grace)
 	defer cancel()
 	f.setCancelWatch(cancel)
 	f.metrics.watches.Inc()
-	updates, asOf, err := f.deps.Source.Watch(ctx, f.View().Revision, f.cfg.WatchWait)
+	updates, asOf, err := f.deps.Source.Watch(ctx, f.View().Revision, wait)
 	if err != nil {
 		return err
 	}
@@ -261,6 +280,7 @@
 	regained := f.storeLost
 	f.storeLost = false
 	f.confirmedAt = time.Now()
+	f.contactAt = f.confirmedAt
 	f.mu.Unlock()
 	if regained {
 		f.deps.Log.WithField("revision", f.View().Revision).Info("the platform's store answers again")
--- a/internal/published/reader.go
+++ b/internal/published/reader.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -46,15 +47,58 @@
 	})
 }
 
-// skipReader records that a reader could not be followed and skips it for a while.
+// chooseReader returns the reader to ask next, and false when this node must read the store itself: when there is no reader, or
+// when none has answered for too long. After a failed read of the store, readers are asked again until it is due once more.
+func (f *Follower) chooseReader() (string, bool) {
+	reader, ok := f.currentReader()
+	if !ok {
+		return "", false
+	}
+	silence := f.sinceContact()
+	if silence < f.cfg.ContactLimit || time.Now().Before(f.storeRetryAt) {
+		return reader, true
+	}
+	f.metrics.readersLost.Inc()
+	f.deps.Log.WithFields(logrus.Fields{"silent_ms": silence.Milliseconds(), "next_reader": reader, "revision": f.View().Revision}).
+		Info("no node that reads the store has answered in time; reading it from here")
+	return "", false
+}
+
+// sinceContact returns the time since a reader that can be followed, or the store, last answered.
+func (f *Follower) sinceContact() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return time.Since(f.contactAt)
+}
+
+// recordContact records that a reader that can be followed answered now.
+func (f *Follower) recordContact() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.contactAt = time.Now()
+}
+
+// sinceConfirmation returns the time since the store last confirmed the state, directly or to a reader.
+func (f *Follower) sinceConfirmation() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return time.Since(f.confirmedAt)
+}
+
+// skipReader records that a reader could not be followed and skips it for a while. One that stopped answering during a watch of
+// the full length is asked once more first: the connection may have died, and the next watch then opens another.
 func (f *Follower) skipReader(id string, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.failuresInRow[id]++
+	failures := f.failuresInRow[id]
 	f.deps.Log.WithError(err).WithFields(logrus.Fields{
-		"reader": id, "failures_in_row": f.failuresInRow[id], "revision": f.state.revision, "unconfirmed_ms": time.Since(f.confirmedAt).Milliseconds(),
-	}).Info("cannot follow the node that reads the store; trying the next one")
-	skip := minReaderSkip << min(f.failuresInRow[id]-1, maxReaderSkipDoublings)
+		"reader": id, "failures_in_row": failures, "revision": f.state.revision, "unconfirmed_ms": time.Since(f.confirmedAt).Milliseconds(),
+	}).Info("cannot follow the node that reads the store; trying again or the next one")
+	if failures == 1 && !f.hurried && !errors.Is(err, errReaderStale) {
+		return
+	}
+	skip := minReaderSkip << min(failures-1, maxReaderSkipDoublings)
 	f.skipUntil[id] = time.Now().Add(skip)
 }
 
@@ -64,11 +108,12 @@
 
 // followReader merges the changes that the reader of the failure domain has learned.
 func (f *Follower) followReader(ctx context.Context, id string) error {
-	wait := readerWatchWait
-	if f.readerFailures(id) > 0 {
-		wait = readerRetryWait
+	wait, grace := readerWatchWait, readerWatchGrace
+	f.hurried = f.readerFailures(id) > 0 || f.sinceContact() >= readerWatchWait+readerWatchGrace
+	if f.hurried {
+		wait, grace = readerRetryWait, readerRetryGrace
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait+readerWatchGrace)
+	ctx, cancel := context.WithTimeout(ctx, wait+grace)
 	defer cancel()
 	f.setCancelWatch(cancel)
 	f.metrics.follows.Inc()
@@ -80,6 +125,7 @@
 		if time.Since(f.startedAt) > 2*f.cfg.StartDelay {
 			return errReaderStale
 		}
+		f.recordContact()
 		sleep(ctx, readerPollInterval)
 		return nil
 	}
@@ -104,6 +150,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	delete(f.failuresInRow, id)
+	f.contactAt = time.Now()
 	if at.After(f.confirmedAt) {
 		f.confirmedAt = at
 	}
