Soak: connections that go silent, also between nodes, and a bound on new configurations

The soak could not disturb connections between nodes, since nodes listen on their own addresses, and it reset all connections before its last checks, which hides dead ones.

New fault: a share of the open connections to nodes, targets and the store deliver nothing for good, in neither direction, while new ones work. New check: after such a silence, each of three configurations is in force at every node within 3 s of its publication or 5 s of the silence, whichever is later.

--- a/cmd/medlarshunt/serve.go
+++ b/cmd/medlarshunt/serve.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"os/signal"
 	"reflect"
@@ -32,10 +33,24 @@
 // serveFlags holds the settings that are not part of the platform's settings file.
 type serveFlags struct {
 	metricsListen string
+	advertisePeer string
 	logLevel      string
 	logRate       float64
 }
 
+func (f *serveFlags) validate() error {
+	if f.logRate < 1 {
+		return eris.New("--log-rate must be 1 or more")
+	}
+	if f.advertisePeer == "" {
+		return nil
+	}
+	if address, err := netip.ParseAddrPort(f.advertisePeer); err != nil || address.Port() == 0 {
+		return eris.Errorf("--advertise-peer: %q must be an IP address with a port", f.advertisePeer)
+	}
+	return nil
+}
+
 func serveCommand() *cli.Command {
 	f := serveFlags{}
 	return &cli.Command{
@@ -44,14 +59,16 @@
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "metrics-listen", Usage: "address (IP:port) of the metrics; empty for none", Destination: &f.metricsListen,
 				Sources: cli.EnvVars("MEDLARSHUNT_METRICS_LISTEN")},
+			&cli.StringFlag{Name: "advertise-peer", Usage: "address (IP:port) at which other nodes reach this one, if it is not the one listened on",
+				Destination: &f.advertisePeer, Sources: cli.EnvVars("MEDLARSHUNT_ADVERTISE_PEER")},
 			&cli.StringFlag{Name: "log-level", Usage: "least level of log lines: debug, info, warn or error", Value: "info", Destination: &f.logLevel,
 				Sources: cli.EnvVars("MEDLARSHUNT_LOG_LEVEL")},
 			&cli.FloatFlag{Name: "log-rate", Usage: "log lines a second at most; warnings and errors are always written", Value: telemetry.DefaultLogLinesPerSecond,
 				Destination: &f.logRate, Sources: cli.EnvVars("MEDLARSHUNT_LOG_RATE")},
 		},
 		Action: func(ctx context.Context, _ *cli.Command) error {
-			if f.logRate < 1 {
-				return eris.New("--log-rate must be 1 or more")
+			if err := f.validate(); err != nil {
+				return err
 			}
 			return serve(ctx, f)
 		},
@@ -78,7 +95,7 @@
 	if err != nil {
 		return err
 	}
-	g, err := gateway.New(gatewayConfig(settings), deps)
+	g, err := gateway.New(gatewayConfig(settings, f), deps)
 	if err != nil {
 		return err
 	}
@@ -127,11 +144,11 @@
 	}
 }
 
-func gatewayConfig(s platform.Settings) gateway.Config {
+func gatewayConfig(s platform.Settings, f serveFlags) gateway.Config {
 	return gateway.Config{
 		Node: s.Node, Domain: s.Domain, Regions: s.Regions, Seeds: s.Seeds, GracePeriod: s.GracePeriod,
 		Budget: query.RetryBudget{Ratio: s.RetryRatio, Slack: s.RetrySlack}, MemoryLimitBytes: int64(s.MemoryMB) << 20,
-		ApplyTimeout: s.ApplyTimeout, Bootstrap: s.Bootstrap,
+		ApplyTimeout: s.ApplyTimeout, Bootstrap: s.Bootstrap, AdvertisedPeerAddress: f.advertisePeer,
 	}
 }
 
--- a/internal/gateway/core.go
+++ b/internal/gateway/core.go
@@ -107,9 +107,13 @@
 	membershipConfig := membership.DefaultConfig()
 	membershipConfig.Seeds, membershipConfig.Heartbeat, membershipConfig.Fanout = c.cfg.Seeds, heartbeatInterval, localFanout
 	membershipConfig.RemoteFanout, membershipConfig.RemoteHeartbeatEvery = remoteDomainFanout, remoteDomainHeartbeats
+	address := c.cfg.AdvertisedPeerAddress
+	if address == "" {
+		address = c.deps.PeerListener.Addr().String()
+	}
 	self := membership.Record{
 		ID: c.cfg.Node, Incarnation: id.String(), Region: c.cfg.Regions[c.cfg.Domain], Domain: c.cfg.Domain,
-		Roles: []membership.Role{membership.RoleEntry, membership.RoleRelay}, Address: c.deps.PeerListener.Addr().String(), State: statechart.NodeStarting,
+		Roles: []membership.Role{membership.RoleEntry, membership.RoleRelay}, Address: address, State: statechart.NodeStarting,
 	}
 	c.members, err = membership.NewLoop(membershipConfig, self, membership.Deps{
 		Transport: membershipTransport{c.peers}, Clock: membership.SystemClock(), Rand: mathrand.New(mathrand.NewPCG(mathrand.Uint64(), 1)),
--- a/test/platform/platform_test.go
+++ b/test/platform/platform_test.go
@@ -63,6 +63,7 @@
 // process is one running node.
 type process struct {
 	name, frontAddress, readyAddress, controlAddress, metricsAddress string
+	advertisedAddress                                                string // where other nodes reach this one
 	settingsPath                                                     string
 	// restarting is held while the process is ended and started again.
 	restarting sync.Mutex
@@ -135,6 +136,7 @@
 			name: fmt.Sprintf("node-%d", i), frontAddress: own[0], readyAddress: own[1], controlAddress: own[2], metricsAddress: own[3],
 			settingsPath: filepath.Join(t.TempDir(), "boot.toml"),
 		}
+		p.advertisedAddress = p.controlAddress
 		s.nodes = append(s.nodes, p)
 	}
 	s.seedAddresses = fmt.Sprintf("%q", s.nodes[0].controlAddress)
@@ -224,7 +226,7 @@
 `, p.name, s.seedAddresses, bootstrap, p.frontAddress, p.readyAddress, p.controlAddress, s.storeAddress)
 	s.g.Expect(os.WriteFile(p.settingsPath, []byte(text), 0o600)).To(Succeed())
 	log := &logBuffer{}
-	cmd := exec.Command(binary, "serve", "--metrics-listen", p.metricsAddress)
+	cmd := exec.Command(binary, "serve", "--metrics-listen", p.metricsAddress, "--advertise-peer", p.advertisedAddress)
 	cmd.Env = append(os.Environ(), "MEDLARSHUNT_CONFIG="+p.settingsPath)
 	cmd.Stdout, cmd.Stderr = log, log
 	s.g.Expect(cmd.Start()).To(Succeed())
--- a/test/platform/proxy_test.go
+++ b/test/platform/proxy_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -19,18 +20,19 @@
 	blackhole   proxyFault = "silent"  // nothing is forwarded; connections opened now never forward anything
 )
 
-// proxy forwards TCP connections to a stand-in and injects faults into them. mu guards the fields below it.
+// proxy forwards TCP connections to a stand-in or a node and injects faults into them. mu guards the fields below it.
 type proxy struct {
 	listener net.Listener
 	target   string
+	closed   chan struct{}
 
 	mu    sync.Mutex
 	fault proxyFault
-	conns map[net.Conn]struct{}
+	conns map[net.Conn]*atomic.Bool // whether each open connection has gone silent
 }
 
 func newProxy(l net.Listener, target string) *proxy {
-	p := &proxy{listener: l, target: target, conns: map[net.Conn]struct{}{}}
+	p := &proxy{listener: l, target: target, closed: make(chan struct{}), conns: map[net.Conn]*atomic.Bool{}}
 	go p.acceptConnections()
 	return p
 }
@@ -62,8 +64,21 @@
 	}
 }
 
+// silence makes a random share of the open connections deliver nothing for good, in either direction, also not their end. New
+// connections work.
+func (p *proxy) silence(share float64, rnd *rand.Rand) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, silent := range p.conns {
+		if rnd.Float64() < share {
+			silent.Store(true)
+		}
+	}
+}
+
 func (p *proxy) close() {
 	p.listener.Close()
+	close(p.closed)
 	p.resetConnections(2, rand.New(rand.NewPCG(1, 1)))
 }
 
@@ -89,8 +104,9 @@
 		return
 	}
 	defer out.Close()
+	silent := &atomic.Bool{}
 	p.mu.Lock()
-	p.conns[c] = struct{}{}
+	p.conns[c] = silent
 	discard := p.fault == blackhole
 	p.mu.Unlock()
 	defer func() {
@@ -99,21 +115,22 @@
 		p.mu.Unlock()
 	}()
 	go func() {
-		p.forwardDirection(out, c, discard, false)
+		p.forwardDirection(out, c, silent, discard, false)
 		out.Close()
 	}()
-	p.forwardDirection(c, out, discard, true)
+	p.forwardDirection(c, out, silent, discard, true)
 }
 
 // forwardDirection forwards one direction of a connection. With discard it keeps reading and forwards nothing. isAnswer
 // marks the direction from the stand-in to the caller.
-func (p *proxy) forwardDirection(to, from net.Conn, discard, isAnswer bool) {
+func (p *proxy) forwardDirection(to, from net.Conn, silent *atomic.Bool, discard, isAnswer bool) {
 	buffer := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(buffer)
 		if n > 0 {
 			f := p.currentFault()
 			switch {
+			case silent.Load():
 			case discard, f == blackhole, f == dropAnswers && isAnswer:
 				discard = true // lost bytes leave a gap in the stream, so the connection cannot be used again
 			case f == delaying:
@@ -126,6 +143,9 @@
 			}
 		}
 		if err != nil {
+			if silent.Load() {
+				<-p.closed
+			}
 			if discard && err == io.EOF {
 				time.Sleep(time.Second) // delays the close, so that the other side does not learn of the end at once
 			}
--- a/test/platform/soak_test.go
+++ b/test/platform/soak_test.go
@@ -3,10 +3,12 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"os"
 	"regexp"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -22,10 +24,9 @@
 )
 
 // The soak test runs the built program as separate processes and injects faults from outside: through proxies in front of
-// the store and of each target, with signals, with faults of the stand-ins and with configuration changes, several at a
+// the store, of each target and of each node's peer address, with signals, with faults of the stand-ins and with configuration changes, several at a
 // time. It checks the guarantees of the platform's documentation from what callers and targets see. Not covered: clock
-// steps, which need a clock other than the machine's, and faults between nodes, because nodes listen on their own addresses
-// without a proxy.
+// steps, which need a clock other than the machine's.
 //
 //	MEDLARSHUNT_SOAK_SEEDS=50 go test ./test/platform -run TestSoak -timeout 60m
 //
@@ -86,7 +87,7 @@
 type soak struct {
 	*deployment
 	rnd     *rand.Rand
-	proxies map[string]*proxy // by target id; "store" is the proxy of the store
+	proxies map[string]*proxy // by target id or node name; "store" is the proxy of the store
 	stop    chan struct{}
 	wg      sync.WaitGroup
 
@@ -120,7 +121,14 @@
 	s.proxies["store"] = newProxy(l, s.storeAddress)
 	t.Cleanup(s.proxies["store"].close)
 	s.storeAddress = l.Addr().String()
-	for _, p := range s.nodes { // the restarted nodes read the store through its proxy
+	for _, p := range s.nodes {
+		l := listen(s.g)
+		s.proxies[p.name] = newProxy(l, p.controlAddress)
+		t.Cleanup(s.proxies[p.name].close)
+		p.advertisedAddress = l.Addr().String()
+	}
+	s.seedAddresses = fmt.Sprintf("%q", s.nodes[0].advertisedAddress)
+	for _, p := range s.nodes { // the restarted nodes reach the store and each other through the proxies
 		s.restart(p, syscall.SIGKILL)
 	}
 	for _, p := range s.nodes {
@@ -153,6 +161,7 @@
 	}
 	injectors.Wait()
 	s.endFaults()
+	s.checkConfiguration()
 	s.checkDrain()
 	close(s.stop)
 	s.wg.Wait()
@@ -173,7 +182,14 @@
 	targetFaults := []shardsim.Faults{{Paused: true}, {Shed: true}, {Error: true}, {ExtraAnswer: true}, {NoContentLength: true}, {Truncate: true}, {LoseAnswer: true},
 		{LateCopy: true}, {EndlessHead: true}, {EndlessBody: true}}
 	storeModes := []kvsim.Mode{kvsim.Unavailable, kvsim.TooManyRequests, kvsim.Reset, kvsim.Unresponsive}
-	switch rnd.IntN(10) {
+	switch rnd.IntN(12) {
+	case 10:
+		px := s.proxies[p.name]
+		px.setFault(proxyFaults[rnd.IntN(len(proxyFaults))])
+		time.Sleep(duration)
+		px.setFault(noFault)
+	case 11:
+		s.silence(0.3+0.7*rnd.Float64(), rnd)
 	case 0, 1:
 		px := s.proxies[id]
 		px.setFault(proxyFaults[rnd.IntN(len(proxyFaults))])
@@ -205,6 +221,13 @@
 	}
 }
 
+// silence makes a share of the connections to nodes, targets and the store deliver nothing for good.
+func (s *soak) silence(share float64, rnd *rand.Rand) {
+	for _, name := range slices.Sorted(maps.Keys(s.proxies)) {
+		s.proxies[name].silence(share, rnd)
+	}
+}
+
 // pause sends a node a SIGHUP, which makes it reload its settings, and then stops it for a duration.
 func (s *soak) pause(p *process, duration time.Duration) {
 	cmd := p.currentCommand()
@@ -352,8 +375,8 @@
 	for id, p := range s.proxies {
 		p.setFault(noFault)
 		p.resetConnections(1, s.rnd)
-		if id != "store" {
-			s.targets[id].SetFaults(shardsim.Faults{})
+		if t := s.targets[id]; t != nil {
+			t.SetFaults(shardsim.Faults{})
 		}
 	}
 	c := newCaller("recover")
@@ -368,6 +391,35 @@
 	}
 }
 
+const (
+	// contactTime is the time after a disruption from which the bounds hold again.
+	contactTime = 5 * time.Second
+	// configurationTime is the time after its publication within which a configuration must be in force. The settings of the
+	// nodes state the same bound.
+	configurationTime = 3 * time.Second
+)
+
+// checkConfiguration makes open connections go silent, publishes configurations and checks that each is in force at every node in
+// time.
+func (s *soak) checkConfiguration() {
+	s.silence(0.5+0.5*s.rnd.Float64(), s.rnd)
+	silenced := time.Now()
+	for range 3 {
+		time.Sleep(time.Duration(s.rnd.IntN(1000)) * time.Millisecond)
+		s.publishVersion()
+		path, due := versionPath(s.configVersion)+"x", time.Now().Add(configurationTime)
+		if inTouch := silenced.Add(contactTime); due.Before(inTouch) {
+			due = inTouch
+		}
+		time.Sleep(time.Until(due))
+		for _, p := range s.nodes {
+			if resp, id, _, err := newCaller("config"+path).send(p, "POST", path); err == nil && resp.StatusCode == http.StatusNotFound {
+				s.addViolation("%s: %s refuses the route of version %d, which is due", id, p.name, s.configVersion)
+			}
+		}
+	}
+}
+
 var revisionMetric = regexp.MustCompile(`(?m)^medlarshunt_published_revision (\d+)`)
 
 // checkDrain marks a target as draining and checks that nodes that have read the mark send it no more requests.
