--- a/test/platform/soak_test.go
+++ b/test/platform/soak_test.go
@@ -45,34 +45,45 @@
 	retryWindow = 10 * time.Second
 )
 
-// regressions are seeds that failed before, with the cause.
-var regressions = map[uint64]string{
-	135: "a stop ended while recently used connections were open, and a request on one of them was lost",
-	122: "a SIGHUP during the graceful stop ended the process: its signal handler had already been removed",
+// soakRun is one seeded run. cause tells why a run that is kept failed before; nodes is 0 for the usual number.
+type soakRun struct {
+	seed  uint64
+	nodes int
+	cause string
+}
+
+var regressions = []soakRun{
+	{seed: 135, cause: "a stop ended while recently used connections were open, and a request on one of them was lost"},
+	{seed: 122, cause: "a SIGHUP during the graceful stop ended the process: its signal handler had already been removed"},
+	{seed: 1, nodes: 20, cause: "a node asked one reader after another on dead connections and missed a configuration"},
 }
 
 // fixedSeeds are the seeds of a short run; every run includes them and the regressions.
 var fixedSeeds = []uint64{1, 2}
 
 func TestSoak(t *testing.T) {
-	for _, seed := range seedsToRun(t) {
-		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { newSoak(t, seed).run() })
+	for _, r := range seedsToRun(t) {
+		t.Run(fmt.Sprintf("seed %d nodes %d", r.seed, r.nodes), func(t *testing.T) { newSoak(t, r.seed, r.nodes).run() })
 	}
 }
 
-func seedsToRun(t *testing.T) []uint64 {
+func seedsToRun(t *testing.T) (runs []soakRun) {
+	nodes := intFromEnv("MEDLARSHUNT_SOAK_NODES", soakNodes)
 	if one := intFromEnv("MEDLARSHUNT_SOAK_SEED", 0); one > 0 {
-		return []uint64{uint64(one)}
+		return []soakRun{{seed: uint64(one), nodes: nodes}}
+	}
+	for _, seed := range fixedSeeds {
+		runs = append(runs, soakRun{seed: seed, nodes: nodes})
 	}
-	seeds := append([]uint64(nil), fixedSeeds...)
-	for seed, cause := range regressions {
-		t.Logf("seed %d: %s", seed, cause)
-		seeds = append(seeds, seed)
+	for _, r := range regressions {
+		t.Logf("seed %d: %s", r.seed, r.cause)
+		r.nodes = max(r.nodes, nodes)
+		runs = append(runs, r)
 	}
 	for n := 1; n <= intFromEnv("MEDLARSHUNT_SOAK_SEEDS", 0); n++ {
-		seeds = append(seeds, uint64(n))
+		runs = append(runs, soakRun{seed: uint64(n), nodes: nodes})
 	}
-	return seeds
+	return runs
 }
 
 // intFromEnv returns an environment variable as an integer, or fallback when it is unset or no integer.
@@ -106,9 +117,9 @@
 	err            error
 }
 
-func newSoak(t *testing.T, seed uint64) *soak {
+func newSoak(t *testing.T, seed uint64, nodes int) *soak {
 	s := &soak{
-		deployment: newDeployment(t, intFromEnv("MEDLARSHUNT_SOAK_NODES", soakNodes)), rnd: rand.New(rand.NewPCG(seed, seed)),
+		deployment: newDeployment(t, nodes), rnd: rand.New(rand.NewPCG(seed, seed)),
 		proxies: map[string]*proxy{}, stop: make(chan struct{}), killTimes: map[string][]time.Time{},
 	}
 	for id := range s.targets {
