Read the limits that targets name, and log and count what they meet

Nothing read the header Server-Limit. The adapter decodes it now (a number of 0 or more; anything else says nothing; the least of several counts). A log line says when a target begins and ends to name a limit, and a counter how many attempts of each kind are written to such targets. Nothing is decided on it yet. The identity of a target's client is copied, since the published entry changes beside calls.

--- a/internal/query/attempt.go
+++ b/internal/query/attempt.go
@@ -8,6 +8,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/medlarshunt/medlarshunt/internal/attempts"
 	"github.com/medlarshunt/medlarshunt/internal/balance"
 	"github.com/medlarshunt/medlarshunt/internal/httpcall"
 	"github.com/medlarshunt/medlarshunt/internal/routing"
@@ -54,7 +55,7 @@
 const nonIdempotentMaxIdle = 500 * time.Millisecond
 
 // attempt calls the chosen target once and reports the result to the picker and the metrics.
-func (c *serviceCall) attempt(ctx context.Context, choice balance.Choice, newConnection bool) (res attemptResult) {
+func (c *serviceCall) attempt(ctx context.Context, choice balance.Choice, kind attempts.Kind, newConnection bool) (res attemptResult) {
 	e := c.engine
 	started := time.Now()
 	observed := false
@@ -70,7 +71,7 @@
 	if client := e.client(choice.Target.ID); client == nil {
 		res.failure, res.notRun, res.err = failureLeaving, true, errTargetUnavailable
 	} else {
-		c.call(ctx, client, &res, lifecycle, newConnection)
+		c.call(ctx, client, &res, lifecycle, kind, newConnection)
 	}
 	res.elapsed = time.Since(started)
 	e.fire(lifecycle, res.endEvent())
@@ -81,7 +82,7 @@
 }
 
 // call writes the request to the target and fills in the result.
-func (c *serviceCall) call(ctx context.Context, client *targetClient, res *attemptResult, lifecycle *attemptLifecycle, newConnection bool) {
+func (c *serviceCall) call(ctx context.Context, client *targetClient, res *attemptResult, lifecycle *attemptLifecycle, kind attempts.Kind, newConnection bool) {
 	e := c.engine
 	call := &httpcall.Call{
 		Body: c.req.Body, NoResponseBody: c.req.Method == http.MethodHead, Priority: c.route.Priority,
@@ -97,13 +98,14 @@
 	case c.route.Kind == routing.NonIdempotent:
 		call.MaxIdle = nonIdempotentMaxIdle
 	}
-	id := client.info.ID
+	id := client.id
 	resp, err := client.pool.Do(ctx, call, func() error {
 		if !e.acceptsRequests(client) {
 			return errTargetUnavailable
 		}
 		call.RequestHead = e.deps.Codec.EncodeHead(c.req, id, time.Until(c.deadline))
 		e.fire(lifecycle, statechart.AttemptSend)
+		e.countLimitedAttempt(client, kind)
 		return nil
 	})
 	if err != nil {
@@ -117,6 +119,9 @@
 	reply := e.deps.Codec.DecodeReply(resp.Status, resp.Header, resp.Body)
 	reply.ConnectionClosing = reply.ConnectionClosing || resp.Closing
 	res.setReply(&reply)
+	if !reply.WrongTarget {
+		e.hear(client, reply.Notice)
+	}
 }
 
 // setError classifies a call that ended without an answer.
--- a/internal/query/crash.go
+++ b/internal/query/crash.go
@@ -66,7 +66,7 @@
 // checkCrash checks in the background whether a target that lost a call has crashed: its address then refuses connections.
 // One check covers all calls that the target loses while the check runs.
 func (e *Engine) checkCrash(client *targetClient, s crashSuspect) {
-	id := client.info.ID
+	id := client.id
 	if !e.crashChecks.addSuspect(id, s) {
 		return
 	}
--- a/internal/query/metrics.go
+++ b/internal/query/metrics.go
@@ -12,6 +12,7 @@
 type engineMetrics struct {
 	set                 *metrics.Set
 	attemptsByKind      map[attempts.Kind]*metrics.Counter
+	limitedAttempts     map[attempts.Kind]*metrics.Counter // those written to targets that name a limit
 	requestSeconds      *metrics.Histogram
 	attemptSeconds      *metrics.Histogram
 	missingParts        *metrics.Counter
@@ -20,7 +21,7 @@
 
 func newEngineMetrics(set *metrics.Set) *engineMetrics {
 	m := &engineMetrics{
-		set: set, attemptsByKind: map[attempts.Kind]*metrics.Counter{},
+		set: set, attemptsByKind: map[attempts.Kind]*metrics.Counter{}, limitedAttempts: map[attempts.Kind]*metrics.Counter{},
 		requestSeconds:      set.GetOrCreateHistogram("medlarshunt_request_seconds"),
 		attemptSeconds:      set.GetOrCreateHistogram("medlarshunt_attempt_seconds"),
 		missingParts:        set.GetOrCreateCounter("medlarshunt_missing_parts_total"),
@@ -28,6 +29,7 @@
 	}
 	for _, k := range []attempts.Kind{attempts.First, attempts.Hedge, attempts.Retry} {
 		m.attemptsByKind[k] = set.GetOrCreateCounter(`medlarshunt_attempts_total{kind="` + string(k) + `"}`)
+		m.limitedAttempts[k] = set.GetOrCreateCounter(`medlarshunt_limited_attempts_total{kind="` + string(k) + `"}`)
 	}
 	return m
 }
--- a/internal/query/query.go
+++ b/internal/query/query.go
@@ -8,6 +8,7 @@
 
 	"github.com/medlarshunt/medlarshunt/internal/api"
 	"github.com/medlarshunt/medlarshunt/internal/httpcall"
+	"github.com/medlarshunt/medlarshunt/internal/notice"
 )
 
 // Request is a request as a caller sent it. A caller that retries sends another Request.
@@ -81,6 +82,8 @@
 	NotRun bool
 	// WrongTarget is set when the address now belongs to another target.
 	WrongTarget bool
+	// Notice is what the target says of itself.
+	Notice notice.Notice
 	// ConnectionClosing is set when the target announced that it will close the connection.
 	ConnectionClosing bool
 }
--- a/internal/query/service.go
+++ b/internal/query/service.go
@@ -3,11 +3,13 @@
 import (
 	"math/rand/v2"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/medlarshunt/medlarshunt/internal/balance"
 	"github.com/medlarshunt/medlarshunt/internal/hedge"
 	"github.com/medlarshunt/medlarshunt/internal/httpcall"
+	"github.com/medlarshunt/medlarshunt/internal/notice"
 	"github.com/medlarshunt/medlarshunt/internal/published"
 )
 
@@ -21,9 +23,14 @@
 
 // targetClient holds the connections of this node to one incarnation of a target.
 type targetClient struct {
-	info    published.Target
-	service *service
-	pool    *httpcall.Pool
+	id          string
+	startedAtMS int64            // start of the incarnation, 0 if it is not published
+	info        published.Target // guarded by mu of the engine
+	service     *service
+	pool        *httpcall.Pool
+
+	noticeMu sync.Mutex // guards notice
+	notice   notice.Notice
 }
 
 // isSameIncarnation reports whether a registration has the address, start time and service of the connected process.
@@ -123,7 +130,7 @@
 func (e *Engine) newClient(s *service, info published.Target) *targetClient {
 	domain := info.Domain
 	return &targetClient{
-		info: info, service: s,
+		id: info.ID, startedAtMS: info.StartedAtMS, info: info, service: s,
 		pool: httpcall.NewPool(httpcall.Config{
 			Address: info.Address, MaxConnections: 1, Dial: e.deps.Dial, Panics: e.deps.Panics,
 			OnDial: func(d time.Duration) { e.rtts.observe(domain, d) },
@@ -173,7 +180,7 @@
 }
 
 // acceptsRequests reports whether the client is still the current one of its target and the target is not draining.
-func (e *Engine) acceptsRequests(t *targetClient) bool { return e.client(t.info.ID) == t }
+func (e *Engine) acceptsRequests(t *targetClient) bool { return e.client(t.id) == t }
 
 func (e *Engine) service(name string) *service {
 	e.mu.RLock()
--- a/internal/query/work.go
+++ b/internal/query/work.go
@@ -160,7 +160,7 @@
 	}
 	c.summary.add(l, id)
 	c.engine.metrics.attemptsByKind[l.Kind].Inc()
-	go func() { ended(c.attempt(ctx, choice, newConnection)) }()
+	go func() { ended(c.attempt(ctx, choice, l.Kind, newConnection)) }()
 	return true
 }
 
