--- /dev/null
+++ b/internal/query/limits_test.go
@@ -0,0 +1,169 @@
+package query_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	. "github.com/onsi/gomega"
+	"github.com/sirupsen/logrus"
+
+	"github.com/medlarshunt/medlarshunt/internal/published"
+	"github.com/medlarshunt/medlarshunt/internal/quarantine"
+	"github.com/medlarshunt/medlarshunt/internal/query"
+	"github.com/medlarshunt/medlarshunt/internal/routing"
+	"github.com/medlarshunt/medlarshunt/internal/standin/netsim"
+	"github.com/medlarshunt/medlarshunt/internal/standin/shardsim"
+	"github.com/medlarshunt/medlarshunt/internal/standin/virtualtime"
+	"github.com/medlarshunt/medlarshunt/internal/statechart"
+	"github.com/medlarshunt/medlarshunt/platform"
+)
+
+const (
+	// limitContact is the time after a target first named a limit from which it must be kept.
+	limitContact = 4 * time.Second
+	// A target may get limitFactor times what it allows in limitWindow, and limitSlack requests.
+	limitWindow = 4 * time.Second
+	limitFactor = 1.5
+	limitSlack  = 5
+)
+
+// limitedFleet is a number of nodes over the same targets, in virtual time. mu guards answers.
+type limitedFleet struct {
+	t       *testing.T
+	g       *WithT
+	network *netsim.Network
+	engines []*query.Engine
+	targets map[string]*shardsim.Target
+	view    *published.View
+
+	mu      sync.Mutex
+	answers map[query.Status]int
+}
+
+func newLimitedFleet(t *testing.T, nodes, shards, copies int, kind routing.Kind) *limitedFleet {
+	f := &limitedFleet{
+		t: t, g: NewWithT(t), network: netsim.NewInMemory(0, 0, 1), targets: map[string]*shardsim.Target{}, answers: map[query.Status]int{},
+		view: &published.View{Targets: map[string][]published.Target{}},
+	}
+	c := &routing.Configuration{Version: 1}
+	var names []string
+	for i := range shards {
+		names = append(names, fmt.Sprintf("shard-%d", i))
+		c.Services = append(c.Services, routing.Service{Name: names[i], MaxConnections: 20 * nodes})
+		for j := range copies {
+			f.addTarget(names[i], j)
+		}
+	}
+	r := routing.Route{
+		Name: "r", Host: host, Prefix: "/", Kind: kind, MaxTargets: 2, Timeout: 2 * time.Second, LatencyGoal: 200 * time.Millisecond,
+	}
+	if kind == routing.Idempotent {
+		r.Gather, r.TopK, r.MinShare = names, 5, 0.75
+	} else {
+		r.Service = names[0]
+	}
+	c.Routes = []routing.Route{r}
+	f.g.Expect(c.Validate()).To(Succeed())
+	f.view.Table = routing.NewTable(c)
+	for range nodes {
+		f.addNode(nodes)
+	}
+	return f
+}
+
+func (f *limitedFleet) addTarget(service string, i int) {
+	id := targetID(service, i)
+	target := shardsim.New(shardsim.Config{ID: id, Service: service, Slots: 8, Queue: 100, ServiceTime: 10 * time.Millisecond})
+	l, err := f.network.Listen("127.0.0.1:0")
+	f.g.Expect(err).NotTo(HaveOccurred())
+	go target.Serve(l)
+	f.t.Cleanup(target.Close)
+	f.targets[id] = target
+	f.view.Targets[service] = append(f.view.Targets[service], published.Target{ID: id, Service: service, Address: l.Addr().String(), Domain: "north", Slots: 8})
+}
+
+func (f *limitedFleet) addNode(nodes int) {
+	set := metrics.NewSet()
+	charts, err := statechart.NewCharts(set)
+	f.g.Expect(err).NotTo(HaveOccurred())
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	e := query.New(query.Config{Domain: "north", Regions: map[string]string{"north": "r"}, Budget: query.RetryBudget{Ratio: 0.2, Slack: 58}, Bootstrap: true}, query.Deps{
+		Codec: platform.Codec{}, CrashCounter: quarantine.NewCrashCounter(), Charts: charts, Log: logrus.NewEntry(log), Metrics: set,
+		Dial: f.network.Dial, Nodes: func() int { return nodes },
+	})
+	e.Update(f.view)
+	e.Maintain(time.Now())
+	f.t.Cleanup(e.Close)
+	f.engines = append(f.engines, e)
+}
+
+// load sends requests at random moments to random nodes for a duration, and waits until all are answered.
+func (f *limitedFleet) load(perSecond float64, duration time.Duration, seed uint64) {
+	rnd := rand.New(rand.NewPCG(seed, 1))
+	var requests sync.WaitGroup
+	for n, end := 0, time.Now().Add(duration); ; n++ {
+		time.Sleep(time.Duration(rnd.ExpFloat64() / perSecond * float64(time.Second)))
+		if time.Now().After(end) {
+			break
+		}
+		e, id := f.engines[rnd.IntN(len(f.engines))], fmt.Sprintf("q%d-%d", seed, n)
+		requests.Go(func() {
+			a := e.Serve(context.Background(), &query.Request{
+				ID: id, Method: http.MethodGet, Host: host, Path: "/x", URI: "/x", Header: http.Header{"X-Request-Id": {id}},
+				TimeLeft: 1500 * time.Millisecond, Arrived: time.Now(),
+			})
+			defer a.Release()
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.answers[a.Status]++
+		})
+	}
+	requests.Wait()
+}
+
+// expectLimitKept checks every window of arrivals at a target from limitContact after a moment at which it named the limit.
+func (f *limitedFleet) expectLimitKept(target string, limit float64, named time.Time) {
+	arrivals := f.targets[target].Arrivals()
+	allowed, first := limitFactor*limit*limitWindow.Seconds()+limitSlack, 0
+	for i, a := range arrivals {
+		for a.At.Sub(arrivals[first].At) > limitWindow {
+			first++
+		}
+		if a.At.Sub(named) > limitContact {
+			f.g.Expect(float64(i-first+1)).To(BeNumerically("<=", allowed), "%s got too many requests within %s until %s after it named %g/s", target, limitWindow, a.At.Sub(named), limit)
+		}
+	}
+}
+
+// Guards against a target that gets far more requests than the limit that it names, from all nodes together, by first attempts,
+// hedges or retries, while other copies of its shard have room.
+func TestNamedLimitIsKeptByAllNodesTogether(t *testing.T) {
+	for _, nodes := range []int{1, 9, 60} {
+		t.Run(fmt.Sprint(nodes, " nodes"), func(t *testing.T) {
+			virtualtime.Test(t, func(t *testing.T) {
+				f := newLimitedFleet(t, nodes, 4, 3, routing.Idempotent)
+				f.load(180, 3*time.Second, 1)
+				limits := map[string]float64{"shard-1-0": 36.1, "shard-1-1": 29.6, "shard-2-2": 20}
+				for id, limit := range limits {
+					f.targets[id].SetFaults(shardsim.Faults{Limit: limit})
+				}
+				named := time.Now()
+				f.load(180, 20*time.Second, 2)
+				for id, limit := range limits {
+					f.expectLimitKept(id, limit, named)
+					f.targets[id].SetFaults(shardsim.Faults{})
+				}
+				f.g.Expect(f.answers).To(HaveLen(1), "%v", f.answers)
+				f.g.Expect(f.answers[query.Served]).To(BeNumerically(">", 4000))
+			})
+		})
+	}
+}
--- a/internal/standin/shardsim/shardsim.go
+++ b/internal/standin/shardsim/shardsim.go
@@ -31,18 +31,19 @@
 
 // Faults are the injected faults of a target. They can change while the target runs.
 type Faults struct {
-	Paused          bool   // answers no request until the fault is removed
-	Shed            bool   // refuses every request
-	Error           bool   // answers with status 500 and a stamp
-	Busy            bool   // runs the request and answers 503 with a stamp, without X-Not-Executed as proof of no run
-	ExtraAnswer     bool   // sends a second answer after each one
-	NoContentLength bool   // answers without Content-Length
-	Truncate        bool   // closes the connection after half of the body
-	LoseAnswer      bool   // runs the request and resets the connection
-	LateCopy        bool   // sends a second copy of each answer when the next request arrives on the connection
-	EndlessHead     bool   // sends header bytes that do not end until the caller closes the connection
-	EndlessBody     bool   // sends body bytes that do not end until the caller closes the connection
-	CrashMarker     string // a request whose URI contains it crashes the target
+	Paused          bool    // answers no request until the fault is removed
+	Shed            bool    // refuses every request
+	Error           bool    // answers with status 500 and a stamp
+	Busy            bool    // runs the request and answers 503 with a stamp, without X-Not-Executed as proof of no run
+	ExtraAnswer     bool    // sends a second answer after each one
+	NoContentLength bool    // answers without Content-Length
+	Truncate        bool    // closes the connection after half of the body
+	LoseAnswer      bool    // runs the request and resets the connection
+	LateCopy        bool    // sends a second copy of each answer when the next request arrives on the connection
+	EndlessHead     bool    // sends header bytes that do not end until the caller closes the connection
+	EndlessBody     bool    // sends body bytes that do not end until the caller closes the connection
+	Limit           float64 // requests a second that the target names in its answers; 0 names none
+	CrashMarker     string  // a request whose URI contains it crashes the target
 }
 
 // Run is one request that a target started to run.
@@ -162,6 +163,9 @@
 	if draining {
 		w.Header().Set("Connection", "close")
 	}
+	if f.Limit > 0 {
+		w.Header().Set("Server-Limit", strconv.FormatFloat(f.Limit, 'f', -1, 64))
+	}
 	if f.Shed || !t.tryAdmit() {
 		t.reject(w)
 		return
