Keep the limits that targets name, over all nodes together

Cause: nothing acted on what a target says of itself in its answers.

Change: each node takes the limit divided by the number of nodes that it has seen. Requests fall due at each node at an even pace with a random phase and lapse after a second, so that all nodes together never save up more than a second of the limit. All ways to a target ask: first attempts, hedges, retries, replacements, probes; the picker leaves out targets without room. When all copies of a shard have none, an attempt waits for the first that gets room in time for the goal; otherwise the part is missing, a single request is refused with the time after which to come back, and a search whose limits leave too few shards is refused before anything is sent. A limit ends with the first answer that names none, and with the incarnation. One of less than 0.5 a second counts as 0.5, so that a target that names 0 is still heard.

Why it works: no node sends more than its part, however it got to the target, and the parts add up to the limit.

--- a/internal/balance/picker.go
+++ b/internal/balance/picker.go
@@ -181,6 +181,17 @@
 	return p.startCall(p.selectLeastCost(candidates, now, rnd), false, now), true
 }
 
+// PickOnly chooses the given target and counts a call in flight on it. It returns false when the target is unknown or leaving.
+func (p *Picker) PickOnly(id string, now time.Time) (Choice, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.find(id)
+	if s == nil || s.isLeaving() {
+		return Choice{}, false
+	}
+	return p.startCall(s, false, now), true
+}
+
 // CountAlternatives counts the targets that a second attempt could use.
 func (p *Picker) CountAlternatives(r Request, now time.Time) int {
 	p.mu.Lock()
--- a/internal/query/attempt.go
+++ b/internal/query/attempt.go
@@ -29,6 +29,7 @@
 	failureMalformed   failure = "malformed"   // the response is invalid, too large, or does not belong to the request
 	failureNoMemory    failure = "no_memory"   // this node has no memory left for the response
 	failureInternal    failure = "internal"    // a panic of this node; the request may have run
+	failureLimited     failure = "limited"     // no target had room within the limit that it names
 	failureCancelled   failure = "cancelled"   // no longer needed, or out of time
 )
 
@@ -41,6 +42,8 @@
 	notRun  bool // the request is proved not to have run in this attempt
 	elapsed time.Duration
 	err     error
+	// retryAfter is when the caller should come back, 0 if that is not known.
+	retryAfter time.Duration
 }
 
 func (r attemptResult) succeeded() bool { return r.failure == "" }
@@ -105,11 +108,16 @@
 		}
 		call.RequestHead = e.deps.Codec.EncodeHead(c.req, id, time.Until(c.deadline))
 		e.fire(lifecycle, statechart.AttemptSend)
-		e.countLimitedAttempt(client, kind)
+		if client.limited.Load() {
+			e.metrics.limitedAttempts[kind].Inc()
+		}
 		return nil
 	})
 	if err != nil {
 		res.setError(err)
+		if !res.written {
+			client.returnReservation()
+		}
 		if res.failure == failureLost && res.written {
 			e.checkCrash(client, crashSuspect{fp: c.fp, requestID: c.req.ID})
 		}
--- a/internal/query/limits_test.go
+++ b/internal/query/limits_test.go
@@ -45,11 +45,14 @@
 
 	mu      sync.Mutex
 	answers map[query.Status]int
+	missing int             // parts left out of served answers
+	slowest time.Duration   // time until a refusal
+	refused map[string]bool // ids of refused requests
 }
 
 func newLimitedFleet(t *testing.T, nodes, shards, copies int, kind routing.Kind) *limitedFleet {
 	f := &limitedFleet{
-		t: t, g: NewWithT(t), network: netsim.NewInMemory(0, 0, 1), targets: map[string]*shardsim.Target{}, answers: map[query.Status]int{},
+		t: t, g: NewWithT(t), network: netsim.NewInMemory(0, 0, 1), targets: map[string]*shardsim.Target{}, answers: map[query.Status]int{}, refused: map[string]bool{},
 		view: &published.View{Targets: map[string][]published.Target{}},
 	}
 	c := &routing.Configuration{Version: 1}
@@ -116,14 +119,23 @@
 		}
 		e, id := f.engines[rnd.IntN(len(f.engines))], fmt.Sprintf("q%d-%d", seed, n)
 		requests.Go(func() {
+			arrived := time.Now()
 			a := e.Serve(context.Background(), &query.Request{
 				ID: id, Method: http.MethodGet, Host: host, Path: "/x", URI: "/x", Header: http.Header{"X-Request-Id": {id}},
-				TimeLeft: 1500 * time.Millisecond, Arrived: time.Now(),
+				TimeLeft: 1500 * time.Millisecond, Arrived: arrived,
 			})
 			defer a.Release()
 			f.mu.Lock()
 			defer f.mu.Unlock()
 			f.answers[a.Status]++
+			if a.Gathered != nil {
+				f.missing += a.Gathered.Missing
+			}
+			if a.Status == query.Refused {
+				f.refused[id] = true
+				f.slowest = max(f.slowest, time.Since(arrived))
+				f.g.Expect(a.RetryAfter).To(BeNumerically(">", 0))
+			}
 		})
 	}
 	requests.Wait()
@@ -167,3 +179,99 @@
 		})
 	}
 }
+
+// nameLimits makes all copies of a service name a limit.
+func (f *limitedFleet) nameLimits(service string, copies int, limit float64) {
+	for i := range copies {
+		f.targets[targetID(service, i)].SetFaults(shardsim.Faults{Limit: limit})
+	}
+}
+
+// expectRefusedNeverRan checks that refusals were true.
+func (f *limitedFleet) expectRefusedNeverRan() {
+	for id, target := range f.targets {
+		for _, run := range target.Runs() {
+			f.g.Expect(f.refused[run.ID]).To(BeFalse(), "%s was refused and ran at %s", run.ID, id)
+		}
+	}
+}
+
+// Guards against a shard all of whose targets name limits: it must get no more than they allow, and callers must get the other
+// parts with the number of those that are missing.
+func TestShardWithOnlyLimitedTargetsIsLeftOut(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		f := newLimitedFleet(t, 9, 4, 2, routing.Idempotent)
+		f.load(100, 3*time.Second, 1)
+		f.nameLimits("shard-1", 2, 20)
+		named := time.Now()
+		f.load(100, 15*time.Second, 2)
+		f.expectLimitKept("shard-1-0", 20, named)
+		f.expectLimitKept("shard-1-1", 20, named)
+		f.g.Expect(f.answers).To(HaveLen(1), "%v", f.answers)
+		f.g.Expect(f.missing).To(And(BeNumerically(">", 15*40), BeNumerically("<", 15*80)), "the limits leave 40 of 100 requests a second")
+	})
+}
+
+// Guards against requests that run on most shards in vain and then fail: when limits leave too few shards, they are refused at once,
+// with the time after which to come back.
+func TestRequestIsRefusedAtOnceWhenLimitsLeaveTooFewShards(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		f := newLimitedFleet(t, 9, 4, 2, routing.Idempotent)
+		f.load(100, 3*time.Second, 1)
+		for _, shard := range []string{"shard-0", "shard-1", "shard-2"} {
+			f.nameLimits(shard, 2, 10)
+		}
+		f.load(100, 15*time.Second, 2)
+		f.g.Expect(f.answers[query.Refused]).To(BeNumerically(">", 500), "%v", f.answers)
+		f.g.Expect(f.answers[query.Served]).To(BeNumerically(">", 200), "%v", f.answers)
+		f.g.Expect(f.answers[query.Failed]+f.answers[query.TimedOut]).To(BeNumerically("<", 150), "%v", f.answers)
+		f.g.Expect(f.slowest).To(BeNumerically("<", 50*time.Millisecond), "a quarter of the latency goal")
+	})
+}
+
+// Guards against commands that run twice, or that are refused and run, when their only targets name limits.
+func TestLimitedCommandsAreServedOrTrulyRefused(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		f := newLimitedFleet(t, 9, 1, 2, routing.NonIdempotent)
+		f.load(100, 3*time.Second, 1)
+		f.nameLimits("shard-0", 2, 20)
+		named := time.Now()
+		f.load(100, 15*time.Second, 2)
+		f.expectLimitKept("shard-0-0", 20, named)
+		f.expectLimitKept("shard-0-1", 20, named)
+		f.expectRefusedNeverRan()
+		f.g.Expect(f.answers).To(HaveLen(2), "served and refused only: %v", f.answers)
+		f.g.Expect(f.answers[query.Served]).To(BeNumerically(">", 300+15*25))
+		f.g.Expect(f.slowest).To(BeNumerically("<", 50*time.Millisecond))
+	})
+}
+
+// Guards against a limit that outlives the target that named it: one that no longer names it, and a new incarnation at the same
+// address, get their full load at once.
+func TestLimitEndsWithTheStatementAndTheIncarnation(t *testing.T) {
+	for name, end := range map[string]func(*limitedFleet){
+		"no longer named": func(f *limitedFleet) { f.targets["shard-0-0"].SetFaults(shardsim.Faults{}) },
+		"new incarnation": func(f *limitedFleet) {
+			f.targets["shard-0-0"].SetFaults(shardsim.Faults{})
+			f.view.Targets["shard-0"][0].StartedAtMS++
+			for _, e := range f.engines {
+				e.Update(f.view)
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			virtualtime.Test(t, func(t *testing.T) {
+				f := newLimitedFleet(t, 4, 1, 1, routing.NonIdempotent)
+				f.load(100, time.Second, 1)
+				f.targets["shard-0-0"].SetFaults(shardsim.Faults{Limit: 8})
+				f.load(100, 5*time.Second, 2)
+				before := f.answers[query.Refused]
+				f.g.Expect(before).To(BeNumerically(">", 100))
+				end(f)
+				time.Sleep(100 * time.Millisecond)
+				f.load(100, 5*time.Second, 3)
+				f.g.Expect(f.answers[query.Refused]-before).To(BeNumerically("<=", 100), "only until each node has its next answer")
+			})
+		})
+	}
+}
--- a/internal/query/metrics.go
+++ b/internal/query/metrics.go
@@ -16,6 +16,8 @@
 	requestSeconds      *metrics.Histogram
 	attemptSeconds      *metrics.Histogram
 	missingParts        *metrics.Counter
+	limitWaits          *metrics.Counter // attempts that waited for the limit of a target
+	limitRefusals       *metrics.Counter // attempts and requests without a target, because of limits
 	hedgesWithoutBudget *metrics.Counter // hedges and retries that found no budget
 }
 
@@ -25,6 +27,8 @@
 		requestSeconds:      set.GetOrCreateHistogram("medlarshunt_request_seconds"),
 		attemptSeconds:      set.GetOrCreateHistogram("medlarshunt_attempt_seconds"),
 		missingParts:        set.GetOrCreateCounter("medlarshunt_missing_parts_total"),
+		limitWaits:          set.GetOrCreateCounter("medlarshunt_limit_waits_total"),
+		limitRefusals:       set.GetOrCreateCounter("medlarshunt_limit_refusals_total"),
 		hedgesWithoutBudget: set.GetOrCreateCounter("medlarshunt_hedges_without_budget_total"),
 	}
 	for _, k := range []attempts.Kind{attempts.First, attempts.Hedge, attempts.Retry} {
--- a/internal/query/serve.go
+++ b/internal/query/serve.go
@@ -134,6 +134,9 @@
 	ctx, cancel := context.WithDeadlineCause(ctx, template.deadline, errTimeout)
 	defer cancel()
 	if s.route.Gathers() {
+		if a, refused := s.refuseOverLimit(template); refused {
+			return a
+		}
 		return s.serveGathered(ctx, template)
 	}
 	return s.serveSingle(ctx, template)
@@ -170,7 +173,7 @@
 	case res.reply != nil && !res.notRun && !s.isUnprovenRefusal(res.reply):
 		return Answer{Status: Served, Reply: res.reply}
 	case res.notRun:
-		return Answer{Status: Refused, Reason: "no target ran the request: " + string(res.failure), RetryAfter: busyRetryAfter}
+		return Answer{Status: Refused, Reason: "no target ran the request: " + string(res.failure), RetryAfter: max(busyRetryAfter, res.retryAfter)}
 	case errors.Is(context.Cause(ctx), errTimeout):
 		return Answer{Status: TimedOut, Reason: "no answer in time"}
 	default:
--- a/internal/query/service.go
+++ b/internal/query/service.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/medlarshunt/medlarshunt/internal/balance"
@@ -18,7 +19,10 @@
 	name       string
 	picker     *balance.Picker
 	budget     *hedge.Budget
-	totalSlots int // of all targets together
+	totalSlots int             // of all targets together
+	clients    []*targetClient // guarded by mu of the engine
+
+	limitedTargets atomic.Int32 // clients whose targets name a limit of requests
 }
 
 // targetClient holds the connections of this node to one incarnation of a target.
@@ -29,8 +33,9 @@
 	service     *service
 	pool        *httpcall.Pool
 
-	noticeMu sync.Mutex // guards notice
-	notice   notice.Notice
+	limited atomic.Bool // the target names a limit of requests
+	paceMu  sync.Mutex  // guards pace
+	pace    *notice.Pace
 }
 
 // isSameIncarnation reports whether a registration has the address, start time and service of the connected process.
@@ -84,6 +89,7 @@
 		if len(v.Targets[name]) == 0 {
 			s.picker.Update(nil, now)
 			s.totalSlots = 0
+			s.setClients(nil)
 		}
 	}
 	for id, t := range e.targets {
@@ -97,13 +103,14 @@
 		close(e.firstConfiguration)
 	}
 	e.view = v
-	e.setConnectionLimits()
+	e.setConnectionLimits(now)
 }
 
 // updateService sets the candidates of one service. Draining targets are not candidates, but their calls in flight continue.
 func (e *Engine) updateService(s *service, list []published.Target, clients map[string]*targetClient, hadNoTargets bool, now time.Time) {
 	candidates := make([]balance.Target, 0, len(list))
 	s.totalSlots = 0
+	current := make([]*targetClient, 0, len(list))
 	for _, info := range list {
 		t := e.targets[info.ID]
 		restarted := t != nil && !t.isSameIncarnation(info)
@@ -112,6 +119,7 @@
 		}
 		t.info = info
 		clients[info.ID] = t
+		current = append(current, t)
 		if info.Draining {
 			continue
 		}
@@ -121,16 +129,29 @@
 			Warm: hadNoTargets && info.WarmupLeft == 0, WarmupLeft: info.WarmupLeft,
 		})
 	}
+	s.setClients(current)
 	s.picker.Update(candidates, now)
 	for _, info := range list {
 		s.picker.NoteIncarnation(info.ID, strconv.FormatInt(info.StartedAtMS, 10), now)
 	}
 }
 
+// setClients replaces the clients of the service. The caller must hold mu of the engine.
+func (s *service) setClients(clients []*targetClient) {
+	s.clients = clients
+	limited := int32(0)
+	for _, t := range clients {
+		if t.limited.Load() {
+			limited++
+		}
+	}
+	s.limitedTargets.Store(limited)
+}
+
 func (e *Engine) newClient(s *service, info published.Target) *targetClient {
 	domain := info.Domain
 	return &targetClient{
-		id: info.ID, startedAtMS: info.StartedAtMS, info: info, service: s,
+		id: info.ID, startedAtMS: info.StartedAtMS, info: info, service: s, pace: notice.NewPace(rand.Float64()),
 		pool: httpcall.NewPool(httpcall.Config{
 			Address: info.Address, MaxConnections: 1, Dial: e.deps.Dial, Panics: e.deps.Panics,
 			OnDial: func(d time.Duration) { e.rtts.observe(domain, d) },
@@ -142,8 +163,8 @@
 // knows no others, because it has just started or is cut off from them, leave connections for them.
 const minSharingNodes = 4
 
-// setConnectionLimits divides the connections that each target accepts among the nodes. The caller must hold mu.
-func (e *Engine) setConnectionLimits() {
+// setConnectionLimits divides the connections that each target accepts, and the requests that it takes, among the nodes. The caller must hold mu.
+func (e *Engine) setConnectionLimits(now time.Time) {
 	nodes := max(minSharingNodes, e.deps.Nodes())
 	for _, t := range e.targets {
 		limit := t.info.Slots
@@ -153,6 +174,7 @@
 			}
 		}
 		t.pool.SetMaxConnections(max(1, limit/nodes))
+		t.setSharingNodes(nodes, now)
 	}
 }
 
@@ -161,7 +183,7 @@
 	e.budgets.raiseMaxNodes(e.deps.Nodes())
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.setConnectionLimits()
+	e.setConnectionLimits(now)
 	for id, t := range e.targets {
 		t.pool.CloseExpired(now)
 		t.service.picker.SetRTT(id, e.rtts.rtt(t.info.Domain))
--- a/internal/query/work.go
+++ b/internal/query/work.go
@@ -51,8 +51,9 @@
 	deadline   time.Time
 
 	// The fields below belong to the goroutine of run.
-	sentTargets     []string // targets that the request was or may have been written to
-	excludedTargets []string // targets that are not tried again
+	sentTargets     []string      // targets that the request was or may have been written to
+	excludedTargets []string      // targets that are not tried again
+	waitForLimit    time.Duration // set when targets had room only within their limits and too late
 	summary         attemptSummary
 }
 
@@ -105,6 +106,8 @@
 func (c *serviceCall) runAttempts(ctx context.Context) attemptResult {
 	outcome := attempts.Run[attemptResult](ctx, c, c.service.budget, attemptLimits)
 	switch {
+	case outcome.NoTarget && c.waitForLimit > 0:
+		return attemptResult{failure: failureLimited, notRun: true, retryAfter: limitRetryAfter(c.waitForLimit)}
 	case outcome.NoTarget:
 		return attemptResult{failure: failureUnreachable, notRun: true}
 	case outcome.Cancelled:
@@ -152,7 +155,7 @@
 func (c *serviceCall) Launch(ctx context.Context, l attempts.Launch, ended func(attemptResult)) bool {
 	choice, newConnection, ok := c.pickTarget(l.AllowRefused)
 	if !ok {
-		return false
+		return c.launchWithinLimit(ctx, l, ended)
 	}
 	id := choice.Target.ID
 	if !slices.Contains(c.sentTargets, id) {
@@ -168,10 +171,9 @@
 // a target that refused the request. The second result asks for a new connection: on a used one, a late answer to the first
 // attempt could be taken for the answer to this one, since both have the same id.
 func (c *serviceCall) pickTarget(allowRefused bool) (balance.Choice, bool, bool) {
-	now := time.Now()
 	if len(c.sentTargets) < c.route.MaxTargets {
 		request := balance.Request{Tried: append(slices.Clone(c.sentTargets), c.excludedTargets...), NoProbe: c.route.Kind == routing.NonIdempotent}
-		if choice, ok := c.service.picker.Pick(request, now, newRand()); ok {
+		if choice, ok := c.pickWithinLimits(request); ok {
 			return choice, false, true
 		}
 	}
@@ -182,10 +184,35 @@
 		Tried: c.excludedTargets, NoProbe: true,
 		Eligible: func(id string) bool { return slices.Contains(c.sentTargets, id) },
 	}
-	choice, ok := c.service.picker.Pick(request, now, newRand())
+	choice, ok := c.pickWithinLimits(request)
 	return choice, true, ok
 }
 
+// pickWithinLimits picks a target and reserves a request within the limit that the target names. It leaves out targets over
+// their limits.
+func (c *serviceCall) pickWithinLimits(request balance.Request) (balance.Choice, bool) {
+	now := time.Now()
+	overLimit := c.engine.targetsOverLimit(c.service, now)
+	if eligible := request.Eligible; c.service.limitedTargets.Load() > 0 {
+		request.Eligible = func(id string) bool { return !slices.Contains(overLimit, id) && (eligible == nil || eligible(id)) }
+	}
+	for {
+		choice, ok := c.service.picker.Pick(request, now, newRand())
+		if !ok {
+			return balance.Choice{}, false
+		}
+		client := c.engine.client(choice.Target.ID)
+		if client == nil {
+			return choice, true // the attempt ends without being written
+		}
+		if _, ok := client.reserve(now, 0); ok {
+			return choice, true
+		}
+		c.service.picker.Done(choice, balance.Observation{Result: balance.Neutral}, now)
+		overLimit = append(overLimit, choice.Target.ID) // another request has just taken the room
+	}
+}
+
 // HedgeDelay implements attempts.Launcher.
 func (c *serviceCall) HedgeDelay() (time.Duration, bool) {
 	if c.route.Kind != routing.Idempotent || len(c.sentTargets) >= c.route.MaxTargets {
@@ -231,7 +258,9 @@
 	if len(c.sentTargets) >= c.route.MaxTargets {
 		return 0
 	}
-	return c.service.picker.CountAlternatives(balance.Request{Tried: append(slices.Clone(c.sentTargets), c.excludedTargets...)}, time.Now())
+	now := time.Now()
+	tried := append(slices.Clone(c.sentTargets), c.excludedTargets...)
+	return c.service.picker.CountAlternatives(balance.Request{Tried: append(tried, c.engine.targetsOverLimit(c.service, now)...)}, now)
 }
 
 // excludeTarget removes a target from sentTargets and excludes it from further attempts.
