--- a/test/platform/soak_test.go
+++ b/test/platform/soak_test.go
@@ -173,6 +173,7 @@
 	injectors.Wait()
 	s.endFaults()
 	s.checkConfiguration()
+	s.checkLimits()
 	s.checkDrain()
 	close(s.stop)
 	s.wg.Wait()
@@ -431,6 +432,37 @@
 	}
 }
 
+const (
+	// A target that names a limit may get limitFactor times what it allows in limitWindow, and limitSlack requests, from
+	// contactTime after it began to name it.
+	limitWindow = 4 * time.Second
+	limitFactor = 1.5
+	limitSlack  = 5
+)
+
+// checkLimits makes a target of a shard and one of the single service name limits and checks that all nodes together keep them.
+func (s *soak) checkLimits() {
+	limits := map[string]float64{"i-shard-0-0": 5 + 20*s.rnd.Float64(), "i-desk-1": 2 + 8*s.rnd.Float64()}
+	named := time.Now()
+	for id, limit := range limits {
+		s.targets[id].SetFaults(shardsim.Faults{Limit: limit})
+	}
+	time.Sleep(contactTime + limitWindow/2)
+	for id, limit := range limits {
+		arrivals, first := s.targets[id].Arrivals(), 0
+		for i, a := range arrivals {
+			for a.At.Sub(arrivals[first].At) > limitWindow {
+				first++
+			}
+			if allowed := limitFactor*limit*limitWindow.Seconds() + limitSlack; a.At.Sub(named) > contactTime && float64(i-first+1) > allowed {
+				s.addViolation("%s named a limit of %.1f a second and got %d requests in %s, allowed %.0f", id, limit, i-first+1, limitWindow, allowed)
+				break
+			}
+		}
+		s.targets[id].SetFaults(shardsim.Faults{})
+	}
+}
+
 var revisionMetric = regexp.MustCompile(`(?m)^medlarshunt_published_revision (\d+)`)
 
 // checkDrain marks a target as draining and checks that nodes that have read the mark send it no more requests.
