--- a/test/platform/soak_test.go
+++ b/test/platform/soak_test.go
@@ -172,8 +172,9 @@
 	}
 	injectors.Wait()
 	s.endFaults()
+	limits, named := s.nameLimits(), time.Now()
 	s.checkConfiguration()
-	s.checkLimits()
+	s.checkLimits(limits, named)
 	s.checkDrain()
 	close(s.stop)
 	s.wg.Wait()
@@ -440,14 +441,18 @@
 	limitSlack  = 5
 )
 
-// checkLimits makes a target of a shard and one of the single service name limits and checks that all nodes together keep them.
-func (s *soak) checkLimits() {
+// nameLimits makes a target of a shard and one of the single service name limits.
+func (s *soak) nameLimits() map[string]float64 {
 	limits := map[string]float64{"i-shard-0-0": 5 + 20*s.rnd.Float64(), "i-desk-1": 2 + 8*s.rnd.Float64()}
-	named := time.Now()
 	for id, limit := range limits {
 		s.targets[id].SetFaults(shardsim.Faults{Limit: limit})
 	}
-	time.Sleep(contactTime + limitWindow/2)
+	return limits
+}
+
+// checkLimits checks that all nodes together have kept the limits that targets named, and ends them.
+func (s *soak) checkLimits(limits map[string]float64, named time.Time) {
+	time.Sleep(time.Until(named.Add(contactTime + limitWindow/2)))
 	for id, limit := range limits {
 		arrivals, first := s.targets[id].Arrivals(), 0
 		for i, a := range arrivals {
