Guard against responses that are cut anywhere and pass as complete

An operator of a similar system reported a 200 with an empty or short body after a target stopped in the middle of its answer's head. It cannot happen here: the new test cuts three responses after each byte, and each call fails. No code is changed.

--- a/internal/httpcall/httpcall_test.go
+++ b/internal/httpcall/httpcall_test.go
@@ -386,3 +386,27 @@
 		g.Expect(c.maxIdle).To(Equal(want), header)
 	}
 }
+
+// Guards against an answer that breaks off in its head, or in its body, and passes as complete: whatever part of it has arrived
+// when the target closes the connection, the call fails.
+func TestResponseCutAnywhereFails(t *testing.T) {
+	for name, response := range map[string]string{
+		"length":  "HTTP/1.1 200 OK\r\nId: a\r\nX-Server-Stamp: s\r\nContent-Length: 12\r\n\r\nhello, world",
+		"chunked": "HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+		"empty":   "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			for cut := range len(response) {
+				s := startTarget(t, func(s *scriptedTarget, _ int, c net.Conn, r *bufio.Reader) {
+					s.read(r)
+					_, _ = io.WriteString(c, response[:cut])
+				})
+				p := NewPool(Config{Address: s.address, MaxConnections: 1})
+				resp, err := p.Do(t.Context(), &Call{RequestHead: []byte("GET / HTTP/1.1\r\nHost: h\r\nId: a\r\n\r\n")}, func() error { return nil })
+				g.Expect(err).To(HaveOccurred(), "cut after %q: %+v", response[:cut], resp)
+				p.Close()
+			}
+		})
+	}
+}
