Answer the requests that still run at the end of a stop

An operator of a similar system reported requests that came late in the grace, were passed on and were cut with no answer at its end.

TestStopAnswersRequestsThatDoNotEnd, red before: no answer to either request. Now their contexts end 0.4 s before the end of the stop, so the engine answers truly: refused if the request was never written, failed if it may run, served with the parts that are in. Only a caller that has left gets no answer (TestRequestEndedByAStopIsAnswered).

--- a/internal/callerserver/callerserver.go
+++ b/internal/callerserver/callerserver.go
@@ -24,10 +24,16 @@
 	maxHeaderBytes = 128 << 10
 	// stopIdleTime is how long a connection of a stopping server must have been idle before it is closed.
 	stopIdleTime = 20 * time.Millisecond
+	// finalAnswerTime is how long before the end of a stop the requests that still run are ended, so that their callers get an answer
+	// instead of a closed connection. At most a quarter of the stop is used for it.
+	finalAnswerTime = 400 * time.Millisecond
 	// drainPollInterval is how often a stopping server checks whether its requests and connections have ended.
 	drainPollInterval = 10 * time.Millisecond
 )
 
+// ErrStopping is the cause with which the context of a request ends when the process stops before the request has ended.
+var ErrStopping = eris.New("the node is stopping")
+
 // Config holds the settings of a Server.
 type Config struct {
 	// IdleTimeout returns how long a connection may currently be idle; 0 means no limit.
@@ -57,6 +63,8 @@
 	activeRequests atomic.Int64 // requests whose header was read and whose answer is not complete
 	stopStarted    atomic.Int64 // start of the stop in ns after createdAt, 0 before the stop
 	createdAt      time.Time
+	ending         context.Context // ends when a stopping server has to answer the requests that still run
+	end            context.CancelCauseFunc
 
 	mu    sync.Mutex // guards conns
 	conns map[net.Conn]*callerConn
@@ -79,6 +87,7 @@
 // they have not run.
 func NewServer(cfg Config, handler, refuse http.Handler, log *logrus.Entry) *Server {
 	s := &Server{cfg: cfg, log: log, handler: handler, refuse: refuse, conns: map[net.Conn]*callerConn{}, createdAt: time.Now()}
+	s.ending, s.end = context.WithCancelCause(context.Background())
 	s.http = &http.Server{
 		Handler: http.HandlerFunc(s.serve), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ConnContext: s.connContext, ConnState: s.connState,
@@ -144,7 +153,10 @@
 		s.refuse.ServeHTTP(w, r)
 		return
 	}
-	s.handler.ServeHTTP(&closingResponseWriter{ResponseWriter: w, server: s}, r)
+	ctx, cancel := context.WithCancelCause(r.Context())
+	defer cancel(nil)
+	defer context.AfterFunc(s.ending, func() { cancel(ErrStopping) })()
+	s.handler.ServeHTTP(&closingResponseWriter{ResponseWriter: w, server: s}, r.WithContext(ctx))
 }
 
 // closingResponseWriter adds "Connection: close" to answers that are sent after the start of a stop.
@@ -259,7 +271,12 @@
 	if err := l.Close(); err != nil {
 		s.log.WithError(err).Warn("cannot close the callers' listener")
 	}
+	lastMoment := s.cfg.StopTimeout - min(finalAnswerTime, s.cfg.StopTimeout/4)
 	for s.sinceStop() < s.cfg.StopTimeout {
+		if s.sinceStop() >= lastMoment && s.ending.Err() == nil {
+			s.log.WithField("active", s.activeRequests.Load()).Warn("stop: ending the requests that still run")
+			s.end(ErrStopping)
+		}
 		now := time.Now()
 		s.closeIdle(now.Add(-stopIdleTime), now.Add(-s.cfg.FirstRequestTime))
 		if s.activeRequests.Load() == 0 && s.countOpenConnections() == 0 {
--- a/internal/callerserver/callerserver_test.go
+++ b/internal/callerserver/callerserver_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -223,3 +224,28 @@
 	<-h.stopped
 	h.g.Expect(h.server.countOpenConnections()).To(BeZero())
 }
+
+// Guards against a request that was taken while the process was stopping and is cut without an answer at the end of the stop.
+func TestStopAnswersRequestsThatDoNotEnd(t *testing.T) {
+	h := startServer(t, Config{BalancerNoticeTime: 50 * time.Millisecond, AcceptTime: time.Minute, StopTimeout: 800 * time.Millisecond})
+	h.server.handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		h.started <- r.URL.Path
+		<-r.Context().Done()
+		h.g.Expect(context.Cause(r.Context())).To(MatchError(ErrStopping))
+		w.WriteHeader(http.StatusGatewayTimeout)
+	})
+	before := h.dial()
+	before.send("/before")
+	<-h.started
+	h.stop()
+	late := h.dial()
+	late.send("/late")
+	<-h.started
+	for _, c := range []client{before, late} {
+		h.g.Expect(c.SetReadDeadline(time.Now().Add(5 * time.Second))).To(Succeed())
+		resp, _, err := c.readAnswer()
+		h.g.Expect(err).NotTo(HaveOccurred())
+		h.g.Expect(resp.StatusCode).To(Equal(http.StatusGatewayTimeout))
+	}
+	<-h.stopped
+}
--- a/internal/query/trouble_test.go
+++ b/internal/query/trouble_test.go
@@ -9,6 +9,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/medlarshunt/medlarshunt/internal/callerserver"
 	"github.com/medlarshunt/medlarshunt/internal/httpcall"
 	"github.com/medlarshunt/medlarshunt/internal/query"
 	"github.com/medlarshunt/medlarshunt/internal/standin/shardsim"
@@ -135,3 +136,17 @@
 	r.HeaderBytes = headerLimit
 	f.g.Expect(f.engine.Serve(context.Background(), r).Status).To(Equal(query.Served))
 }
+
+// Guards against a request that gets no answer when the process stops before it has ended: only a caller that has left gets none.
+func TestRequestEndedByAStopIsAnswered(t *testing.T) {
+	f := newFixture(t, nil)
+	f.setServiceFaults("single", shardsim.Faults{Paused: true})
+	ctx, cancel := context.WithCancelCause(t.Context())
+	time.AfterFunc(50*time.Millisecond, func() { cancel(callerserver.ErrStopping) })
+	a := f.engine.Serve(ctx, f.request("/book/x"))
+	f.g.Expect(a.Status).To(Equal(query.Failed), "it may run, so it is not refused")
+	ctx, leave := context.WithCancel(t.Context())
+	time.AfterFunc(50*time.Millisecond, leave)
+	a = f.engine.Serve(ctx, f.request("/book/x"))
+	f.g.Expect(a.Status).To(Equal(query.CallerGone))
+}
