Send nothing to a target that says that it leaves

What a target says of itself is now one record for each incarnation (limit, leaving), asked by all ways to it: first attempts, hedges, retries, replacements, probes, and once more just before a request is written. That a target leaves ends only with the incarnation: neither a health check nor panic mode brings it back, and the record outlives a list without the target for a minute (4,096 at most), so that an older list does not. A new incarnation at the same address starts clean. A restart of the node forgets it; the first answer tells again.

--- a/internal/notice/notice.go
+++ b/internal/notice/notice.go
@@ -1,11 +1,59 @@
-// Package notice keeps what a target says of itself in its answers and paces this node's requests to it accordingly. It has no
-// clock, lock or goroutine of its own.
+// Package notice keeps what a target says of itself in its answers: how many requests it takes, whether it leaves, and when it
+// wants requests again. It has no clock, lock or goroutine of its own.
 package notice
 
+import "time"
+
 // Notice is what a target says of itself in one answer.
 type Notice struct {
 	// RequestsPerSecond is what the target takes from all nodes together while it says so.
 	RequestsPerSecond float64
 	// Limited is set when the answer names RequestsPerSecond.
 	Limited bool
+	// Leaving is set when the target leaves.
+	Leaving bool
+}
+
+// Change lists what began or ended with an answer.
+type Change struct{ LimitBegan, LimitEnded, LeavingBegan bool }
+
+// Record holds what one incarnation of a target has said of itself to this node. A limit ends with the first answer that names
+// none; that a target leaves ends only with the incarnation.
+type Record struct {
+	pace    *Pace
+	leaving bool
+}
+
+// NewRecord returns the record of an incarnation that has said nothing. phase is that of its pace.
+func NewRecord(phase float64) *Record { return &Record{pace: NewPace(phase)} }
+
+// Hear takes note of an answer.
+func (r *Record) Hear(n Notice, now time.Time) (c Change) {
+	if r.pace.Hear(n, now) {
+		c.LimitBegan, c.LimitEnded = n.Limited, !n.Limited
+	}
+	c.LeavingBegan = n.Leaving && !r.leaving
+	r.leaving = r.leaving || n.Leaving
+	return c
 }
+
+// SetNodes sets the number of nodes that share the limit.
+func (r *Record) SetNodes(nodes int, now time.Time) { r.pace.SetNodes(nodes, now) }
+
+// Leaving reports whether the target leaves: it must get no requests.
+func (r *Record) Leaving() bool { return r.leaving }
+
+// Restricted reports whether anything that the target said restricts the requests to it.
+func (r *Record) Restricted(time.Time) bool { return r.leaving || r.pace.Limited() }
+
+// Wait returns the time until a request may be sent to a target that does not leave.
+func (r *Record) Wait(now time.Time) time.Duration { return r.pace.Wait(now) }
+
+// Reserve reserves the next request and returns the time until it may be sent. It returns false, and reserves nothing, when that
+// is longer than maxWait.
+func (r *Record) Reserve(now time.Time, maxWait time.Duration) (wait time.Duration, ok bool) {
+	return r.pace.Reserve(now, maxWait)
+}
+
+// Return gives back a reservation that was not used.
+func (r *Record) Return() { r.pace.Return() }
--- a/internal/query/attempt.go
+++ b/internal/query/attempt.go
@@ -29,7 +29,7 @@
 	failureMalformed   failure = "malformed"   // the response is invalid, too large, or does not belong to the request
 	failureNoMemory    failure = "no_memory"   // this node has no memory left for the response
 	failureInternal    failure = "internal"    // a panic of this node; the request may have run
-	failureLimited     failure = "limited"     // no target had room within the limit that it names
+	failureUnwanted    failure = "unwanted"    // no target wants a request of this node soon enough, by what they said
 	failureCancelled   failure = "cancelled"   // no longer needed, or out of time
 )
 
@@ -108,8 +108,8 @@
 		}
 		call.RequestHead = e.deps.Codec.EncodeHead(c.req, id, time.Until(c.deadline))
 		e.fire(lifecycle, statechart.AttemptSend)
-		if client.limited.Load() {
-			e.metrics.limitedAttempts[kind].Inc()
+		if client.report.restricted.Load() {
+			e.metrics.restrictedAttempts[kind].Inc()
 		}
 		return nil
 	})
--- a/internal/query/engine.go
+++ b/internal/query/engine.go
@@ -60,6 +60,7 @@
 	wasConfigured bool // firstConfiguration is closed
 	services      map[string]*service
 	targets       map[string]*targetClient
+	formerReports formerReports
 
 	routesMu sync.Mutex // guards routes
 	routes   map[string]*routeState
@@ -81,7 +82,7 @@
 	e := &Engine{
 		memory: memlimit.New(cfg.ResponseMemoryBytes), cfg: cfg, deps: deps, metrics: newEngineMetrics(deps.Metrics), budgets: newBudgets(cfg.Budget, cfg.Bootstrap), rtts: newRTTTable(cfg.Domain, cfg.Regions),
 		crashChecks: crashChecks{suspectsByTarget: map[string][]crashSuspect{}}, firstConfiguration: make(chan struct{}),
-		view: &published.View{}, services: map[string]*service{}, targets: map[string]*targetClient{}, routes: map[string]*routeState{},
+		view: &published.View{}, services: map[string]*service{}, targets: map[string]*targetClient{}, formerReports: formerReports{}, routes: map[string]*routeState{},
 	}
 	deps.Metrics.NewGauge("medlarshunt_response_memory_bytes", func() float64 { return float64(e.memory.Used()) })
 	return e
--- a/internal/query/limits_test.go
+++ b/internal/query/limits_test.go
@@ -34,8 +34,8 @@
 	limitSlack  = 5
 )
 
-// limitedFleet is a number of nodes over the same targets, in virtual time. mu guards answers.
-type limitedFleet struct {
+// fleet is a number of nodes over the same targets, in virtual time. mu guards answers.
+type fleet struct {
 	t       *testing.T
 	g       *WithT
 	network *netsim.Network
@@ -50,8 +50,8 @@
 	refused map[string]bool // ids of refused requests
 }
 
-func newLimitedFleet(t *testing.T, nodes, shards, copies int, kind routing.Kind) *limitedFleet {
-	f := &limitedFleet{
+func newFleet(t *testing.T, nodes, shards, copies int, kind routing.Kind) *fleet {
+	f := &fleet{
 		t: t, g: NewWithT(t), network: netsim.NewInMemory(0, 0, 1), targets: map[string]*shardsim.Target{}, answers: map[query.Status]int{}, refused: map[string]bool{},
 		view: &published.View{Targets: map[string][]published.Target{}},
 	}
@@ -81,7 +81,7 @@
 	return f
 }
 
-func (f *limitedFleet) addTarget(service string, i int) {
+func (f *fleet) addTarget(service string, i int) {
 	id := targetID(service, i)
 	target := shardsim.New(shardsim.Config{ID: id, Service: service, Slots: 8, Queue: 100, ServiceTime: 10 * time.Millisecond})
 	l, err := f.network.Listen("127.0.0.1:0")
@@ -92,7 +92,7 @@
 	f.view.Targets[service] = append(f.view.Targets[service], published.Target{ID: id, Service: service, Address: l.Addr().String(), Domain: "north", Slots: 8})
 }
 
-func (f *limitedFleet) addNode(nodes int) {
+func (f *fleet) addNode(nodes int) {
 	set := metrics.NewSet()
 	charts, err := statechart.NewCharts(set)
 	f.g.Expect(err).NotTo(HaveOccurred())
@@ -109,7 +109,7 @@
 }
 
 // load sends requests at random moments to random nodes for a duration, and waits until all are answered.
-func (f *limitedFleet) load(perSecond float64, duration time.Duration, seed uint64) {
+func (f *fleet) load(perSecond float64, duration time.Duration, seed uint64) {
 	rnd := rand.New(rand.NewPCG(seed, 1))
 	var requests sync.WaitGroup
 	for n, end := 0, time.Now().Add(duration); ; n++ {
@@ -117,7 +117,8 @@
 		if time.Now().After(end) {
 			break
 		}
-		e, id := f.engines[rnd.IntN(len(f.engines))], fmt.Sprintf("q%d-%d", seed, n)
+		node := rnd.IntN(len(f.engines))
+		e, id := f.engines[node], fmt.Sprintf("n%d-q%d-%d", node, seed, n)
 		requests.Go(func() {
 			arrived := time.Now()
 			a := e.Serve(context.Background(), &query.Request{
@@ -142,7 +143,7 @@
 }
 
 // expectLimitKept checks every window of arrivals at a target from limitContact after a moment at which it named the limit.
-func (f *limitedFleet) expectLimitKept(target string, limit float64, named time.Time) {
+func (f *fleet) expectLimitKept(target string, limit float64, named time.Time) {
 	arrivals := f.targets[target].Arrivals()
 	allowed, first := limitFactor*limit*limitWindow.Seconds()+limitSlack, 0
 	for i, a := range arrivals {
@@ -161,7 +162,7 @@
 	for _, nodes := range []int{1, 9, 60} {
 		t.Run(fmt.Sprint(nodes, " nodes"), func(t *testing.T) {
 			virtualtime.Test(t, func(t *testing.T) {
-				f := newLimitedFleet(t, nodes, 4, 3, routing.Idempotent)
+				f := newFleet(t, nodes, 4, 3, routing.Idempotent)
 				f.load(180, 3*time.Second, 1)
 				limits := map[string]float64{"shard-1-0": 36.1, "shard-1-1": 29.6, "shard-2-2": 20}
 				for id, limit := range limits {
@@ -181,14 +182,14 @@
 }
 
 // nameLimits makes all copies of a service name a limit.
-func (f *limitedFleet) nameLimits(service string, copies int, limit float64) {
+func (f *fleet) nameLimits(service string, copies int, limit float64) {
 	for i := range copies {
 		f.targets[targetID(service, i)].SetFaults(shardsim.Faults{Limit: limit})
 	}
 }
 
 // expectRefusedNeverRan checks that refusals were true.
-func (f *limitedFleet) expectRefusedNeverRan() {
+func (f *fleet) expectRefusedNeverRan() {
 	for id, target := range f.targets {
 		for _, run := range target.Runs() {
 			f.g.Expect(f.refused[run.ID]).To(BeFalse(), "%s was refused and ran at %s", run.ID, id)
@@ -200,7 +201,7 @@
 // parts with the number of those that are missing.
 func TestShardWithOnlyLimitedTargetsIsLeftOut(t *testing.T) {
 	virtualtime.Test(t, func(t *testing.T) {
-		f := newLimitedFleet(t, 9, 4, 2, routing.Idempotent)
+		f := newFleet(t, 9, 4, 2, routing.Idempotent)
 		f.load(100, 3*time.Second, 1)
 		f.nameLimits("shard-1", 2, 20)
 		named := time.Now()
@@ -216,7 +217,7 @@
 // with the time after which to come back.
 func TestRequestIsRefusedAtOnceWhenLimitsLeaveTooFewShards(t *testing.T) {
 	virtualtime.Test(t, func(t *testing.T) {
-		f := newLimitedFleet(t, 9, 4, 2, routing.Idempotent)
+		f := newFleet(t, 9, 4, 2, routing.Idempotent)
 		f.load(100, 3*time.Second, 1)
 		for _, shard := range []string{"shard-0", "shard-1", "shard-2"} {
 			f.nameLimits(shard, 2, 10)
@@ -232,7 +233,7 @@
 // Guards against commands that run twice, or that are refused and run, when their only targets name limits.
 func TestLimitedCommandsAreServedOrTrulyRefused(t *testing.T) {
 	virtualtime.Test(t, func(t *testing.T) {
-		f := newLimitedFleet(t, 9, 1, 2, routing.NonIdempotent)
+		f := newFleet(t, 9, 1, 2, routing.NonIdempotent)
 		f.load(100, 3*time.Second, 1)
 		f.nameLimits("shard-0", 2, 20)
 		named := time.Now()
@@ -249,9 +250,9 @@
 // Guards against a limit that outlives the target that named it: one that no longer names it, and a new incarnation at the same
 // address, get their full load at once.
 func TestLimitEndsWithTheStatementAndTheIncarnation(t *testing.T) {
-	for name, end := range map[string]func(*limitedFleet){
-		"no longer named": func(f *limitedFleet) { f.targets["shard-0-0"].SetFaults(shardsim.Faults{}) },
-		"new incarnation": func(f *limitedFleet) {
+	for name, end := range map[string]func(*fleet){
+		"no longer named": func(f *fleet) { f.targets["shard-0-0"].SetFaults(shardsim.Faults{}) },
+		"new incarnation": func(f *fleet) {
 			f.targets["shard-0-0"].SetFaults(shardsim.Faults{})
 			f.view.Targets["shard-0"][0].StartedAtMS++
 			for _, e := range f.engines {
@@ -261,7 +262,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			virtualtime.Test(t, func(t *testing.T) {
-				f := newLimitedFleet(t, 4, 1, 1, routing.NonIdempotent)
+				f := newFleet(t, 4, 1, 1, routing.NonIdempotent)
 				f.load(100, time.Second, 1)
 				f.targets["shard-0-0"].SetFaults(shardsim.Faults{Limit: 8})
 				f.load(100, 5*time.Second, 2)
--- a/internal/query/metrics.go
+++ b/internal/query/metrics.go
@@ -12,28 +12,28 @@
 type engineMetrics struct {
 	set                 *metrics.Set
 	attemptsByKind      map[attempts.Kind]*metrics.Counter
-	limitedAttempts     map[attempts.Kind]*metrics.Counter // those written to targets that name a limit
+	restrictedAttempts  map[attempts.Kind]*metrics.Counter // those written to targets that said what restricts them
 	requestSeconds      *metrics.Histogram
 	attemptSeconds      *metrics.Histogram
 	missingParts        *metrics.Counter
-	limitWaits          *metrics.Counter // attempts that waited for the limit of a target
-	limitRefusals       *metrics.Counter // attempts and requests without a target, because of limits
+	noticeWaits         *metrics.Counter // attempts that waited until a target wanted them
+	noticeRefusals      *metrics.Counter // attempts and requests without a target that wants them
 	hedgesWithoutBudget *metrics.Counter // hedges and retries that found no budget
 }
 
 func newEngineMetrics(set *metrics.Set) *engineMetrics {
 	m := &engineMetrics{
-		set: set, attemptsByKind: map[attempts.Kind]*metrics.Counter{}, limitedAttempts: map[attempts.Kind]*metrics.Counter{},
+		set: set, attemptsByKind: map[attempts.Kind]*metrics.Counter{}, restrictedAttempts: map[attempts.Kind]*metrics.Counter{},
 		requestSeconds:      set.GetOrCreateHistogram("medlarshunt_request_seconds"),
 		attemptSeconds:      set.GetOrCreateHistogram("medlarshunt_attempt_seconds"),
 		missingParts:        set.GetOrCreateCounter("medlarshunt_missing_parts_total"),
-		limitWaits:          set.GetOrCreateCounter("medlarshunt_limit_waits_total"),
-		limitRefusals:       set.GetOrCreateCounter("medlarshunt_limit_refusals_total"),
+		noticeWaits:         set.GetOrCreateCounter("medlarshunt_notice_waits_total"),
+		noticeRefusals:      set.GetOrCreateCounter("medlarshunt_notice_refusals_total"),
 		hedgesWithoutBudget: set.GetOrCreateCounter("medlarshunt_hedges_without_budget_total"),
 	}
 	for _, k := range []attempts.Kind{attempts.First, attempts.Hedge, attempts.Retry} {
 		m.attemptsByKind[k] = set.GetOrCreateCounter(`medlarshunt_attempts_total{kind="` + string(k) + `"}`)
-		m.limitedAttempts[k] = set.GetOrCreateCounter(`medlarshunt_limited_attempts_total{kind="` + string(k) + `"}`)
+		m.restrictedAttempts[k] = set.GetOrCreateCounter(`medlarshunt_restricted_attempts_total{kind="` + string(k) + `"}`)
 	}
 	return m
 }
--- a/internal/query/serve.go
+++ b/internal/query/serve.go
@@ -134,7 +134,7 @@
 	ctx, cancel := context.WithDeadlineCause(ctx, template.deadline, errTimeout)
 	defer cancel()
 	if s.route.Gathers() {
-		if a, refused := s.refuseOverLimit(template); refused {
+		if a, refused := s.refuseUnwilling(template); refused {
 			return a
 		}
 		return s.serveGathered(ctx, template)
--- a/internal/query/service.go
+++ b/internal/query/service.go
@@ -3,14 +3,12 @@
 import (
 	"math/rand/v2"
 	"strconv"
-	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/medlarshunt/medlarshunt/internal/balance"
 	"github.com/medlarshunt/medlarshunt/internal/hedge"
 	"github.com/medlarshunt/medlarshunt/internal/httpcall"
-	"github.com/medlarshunt/medlarshunt/internal/notice"
 	"github.com/medlarshunt/medlarshunt/internal/published"
 )
 
@@ -22,7 +20,7 @@
 	totalSlots int             // of all targets together
 	clients    []*targetClient // guarded by mu of the engine
 
-	limitedTargets atomic.Int32 // clients whose targets name a limit of requests
+	restrictedTargets atomic.Int32 // clients whose targets said what restricts the requests to them
 }
 
 // targetClient holds the connections of this node to one incarnation of a target.
@@ -32,10 +30,7 @@
 	info        published.Target // guarded by mu of the engine
 	service     *service
 	pool        *httpcall.Pool
-
-	limited atomic.Bool // the target names a limit of requests
-	paceMu  sync.Mutex  // guards pace
-	pace    *notice.Pace
+	report      *selfReport // what the incarnation says of itself
 }
 
 // isSameIncarnation reports whether a registration has the address, start time and service of the connected process.
@@ -95,6 +90,7 @@
 	for id, t := range e.targets {
 		if clients[id] != t {
 			t.pool.Close()
+			e.formerReports.add(t.info, t.report, now)
 		}
 	}
 	e.targets = clients
@@ -115,7 +111,7 @@
 		t := e.targets[info.ID]
 		restarted := t != nil && !t.isSameIncarnation(info)
 		if t == nil || restarted {
-			t = e.newClient(s, info)
+			t = e.newClient(s, info, now)
 		}
 		t.info = info
 		clients[info.ID] = t
@@ -139,19 +135,19 @@
 // setClients replaces the clients of the service. The caller must hold mu of the engine.
 func (s *service) setClients(clients []*targetClient) {
 	s.clients = clients
-	limited := int32(0)
+	restricted := int32(0)
 	for _, t := range clients {
-		if t.limited.Load() {
-			limited++
+		if t.report.restricted.Load() {
+			restricted++
 		}
 	}
-	s.limitedTargets.Store(limited)
+	s.restrictedTargets.Store(restricted)
 }
 
-func (e *Engine) newClient(s *service, info published.Target) *targetClient {
+func (e *Engine) newClient(s *service, info published.Target, now time.Time) *targetClient {
 	domain := info.Domain
 	return &targetClient{
-		id: info.ID, startedAtMS: info.StartedAtMS, info: info, service: s, pace: notice.NewPace(rand.Float64()),
+		id: info.ID, startedAtMS: info.StartedAtMS, info: info, service: s, report: e.formerReports.take(info, now),
 		pool: httpcall.NewPool(httpcall.Config{
 			Address: info.Address, MaxConnections: 1, Dial: e.deps.Dial, Panics: e.deps.Panics,
 			OnDial: func(d time.Duration) { e.rtts.observe(domain, d) },
@@ -190,7 +186,7 @@
 	}
 }
 
-// client returns the client of a target, or nil if the target is draining or not registered.
+// client returns the client of a target, or nil if the target is draining, leaves or is not registered.
 func (e *Engine) client(id string) *targetClient {
 	e.mu.RLock()
 	defer e.mu.RUnlock()
@@ -198,6 +194,9 @@
 	if t == nil || t.info.Draining {
 		return nil
 	}
+	if _, ok := t.wantsRequests(time.Now()); !ok {
+		return nil
+	}
 	return t
 }
 
--- a/internal/query/work.go
+++ b/internal/query/work.go
@@ -53,7 +53,7 @@
 	// The fields below belong to the goroutine of run.
 	sentTargets     []string      // targets that the request was or may have been written to
 	excludedTargets []string      // targets that are not tried again
-	waitForLimit    time.Duration // set when targets had room only within their limits and too late
+	noticeWait      time.Duration // set when no target wants a request soon enough
 	summary         attemptSummary
 }
 
@@ -106,8 +106,8 @@
 func (c *serviceCall) runAttempts(ctx context.Context) attemptResult {
 	outcome := attempts.Run[attemptResult](ctx, c, c.service.budget, attemptLimits)
 	switch {
-	case outcome.NoTarget && c.waitForLimit > 0:
-		return attemptResult{failure: failureLimited, notRun: true, retryAfter: limitRetryAfter(c.waitForLimit)}
+	case outcome.NoTarget && c.noticeWait > 0:
+		return attemptResult{failure: failureUnwanted, notRun: true, retryAfter: noticeRetryAfter(c.noticeWait)}
 	case outcome.NoTarget:
 		return attemptResult{failure: failureUnreachable, notRun: true}
 	case outcome.Cancelled:
@@ -155,7 +155,7 @@
 func (c *serviceCall) Launch(ctx context.Context, l attempts.Launch, ended func(attemptResult)) bool {
 	choice, newConnection, ok := c.pickTarget(l.AllowRefused)
 	if !ok {
-		return c.launchWithinLimit(ctx, l, ended)
+		return c.launchWhenWanted(ctx, l, ended)
 	}
 	id := choice.Target.ID
 	if !slices.Contains(c.sentTargets, id) {
@@ -173,7 +173,7 @@
 func (c *serviceCall) pickTarget(allowRefused bool) (balance.Choice, bool, bool) {
 	if len(c.sentTargets) < c.route.MaxTargets {
 		request := balance.Request{Tried: append(slices.Clone(c.sentTargets), c.excludedTargets...), NoProbe: c.route.Kind == routing.NonIdempotent}
-		if choice, ok := c.pickWithinLimits(request); ok {
+		if choice, ok := c.pickWilling(request); ok {
 			return choice, false, true
 		}
 	}
@@ -184,17 +184,16 @@
 		Tried: c.excludedTargets, NoProbe: true,
 		Eligible: func(id string) bool { return slices.Contains(c.sentTargets, id) },
 	}
-	choice, ok := c.pickWithinLimits(request)
+	choice, ok := c.pickWilling(request)
 	return choice, true, ok
 }
 
-// pickWithinLimits picks a target and reserves a request within the limit that the target names. It leaves out targets over
-// their limits.
-func (c *serviceCall) pickWithinLimits(request balance.Request) (balance.Choice, bool) {
+// pickWilling picks a target that wants a request of this node now and reserves the request.
+func (c *serviceCall) pickWilling(request balance.Request) (balance.Choice, bool) {
 	now := time.Now()
-	overLimit := c.engine.targetsOverLimit(c.service, now)
-	if eligible := request.Eligible; c.service.limitedTargets.Load() > 0 {
-		request.Eligible = func(id string) bool { return !slices.Contains(overLimit, id) && (eligible == nil || eligible(id)) }
+	unwilling := c.engine.unwilling(c.service, now)
+	if eligible := request.Eligible; c.service.isRestricted() {
+		request.Eligible = func(id string) bool { return !slices.Contains(unwilling, id) && (eligible == nil || eligible(id)) }
 	}
 	for {
 		choice, ok := c.service.picker.Pick(request, now, newRand())
@@ -209,7 +208,7 @@
 			return choice, true
 		}
 		c.service.picker.Done(choice, balance.Observation{Result: balance.Neutral}, now)
-		overLimit = append(overLimit, choice.Target.ID) // another request has just taken the room
+		unwilling = append(unwilling, choice.Target.ID) // another request has just taken the room
 	}
 }
 
@@ -260,7 +259,7 @@
 	}
 	now := time.Now()
 	tried := append(slices.Clone(c.sentTargets), c.excludedTargets...)
-	return c.service.picker.CountAlternatives(balance.Request{Tried: append(tried, c.engine.targetsOverLimit(c.service, now)...)}, now)
+	return c.service.picker.CountAlternatives(balance.Request{Tried: append(tried, c.engine.unwilling(c.service, now)...)}, now)
 }
 
 // excludeTarget removes a target from sentTargets and excludes it from further attempts.
--- a/internal/standin/shardsim/shardsim.go
+++ b/internal/standin/shardsim/shardsim.go
@@ -43,6 +43,8 @@
 	EndlessHead     bool    // sends header bytes that do not end until the caller closes the connection
 	EndlessBody     bool    // sends body bytes that do not end until the caller closes the connection
 	Limit           float64 // requests a second that the target names in its answers; 0 names none
+	Leaving         bool    // says in its answers that it leaves
+	RetryAfter      string  // sent with refusals
 	CrashMarker     string  // a request whose URI contains it crashes the target
 }
 
@@ -166,7 +168,13 @@
 	if f.Limit > 0 {
 		w.Header().Set("Server-Limit", strconv.FormatFloat(f.Limit, 'f', -1, 64))
 	}
+	if f.Leaving {
+		w.Header().Set("Server-Leaving", "1")
+	}
 	if f.Shed || !t.tryAdmit() {
+		if f.RetryAfter != "" {
+			w.Header().Set("Retry-After", f.RetryAfter)
+		}
 		t.reject(w)
 		return
 	}
