Leave a target alone for the time that it asks for

The record of the incarnation keeps the end of the pause; all ways to the target ask, once more just before a request is written.

--- a/internal/notice/notice.go
+++ b/internal/notice/notice.go
@@ -12,16 +12,22 @@
 	Limited bool
 	// Leaving is set when the target leaves.
 	Leaving bool
+	// Pause is the time for which the target wants no requests of this node; 0 if it names none.
+	Pause time.Duration
 }
 
+// maxPause bounds a pause. A target that names a longer one is asked again then.
+const maxPause = 10 * time.Minute
+
 // Change lists what began or ended with an answer.
-type Change struct{ LimitBegan, LimitEnded, LeavingBegan bool }
+type Change struct{ LimitBegan, LimitEnded, LeavingBegan, PauseBegan bool }
 
 // Record holds what one incarnation of a target has said of itself to this node. A limit ends with the first answer that names
-// none; that a target leaves ends only with the incarnation.
+// none, a pause with its time; that a target leaves ends only with the incarnation.
 type Record struct {
-	pace    *Pace
-	leaving bool
+	pace        *Pace
+	leaving     bool
+	pausedUntil time.Time
 }
 
 // NewRecord returns the record of an incarnation that has said nothing. phase is that of its pace.
@@ -34,6 +40,10 @@
 	}
 	c.LeavingBegan = n.Leaving && !r.leaving
 	r.leaving = r.leaving || n.Leaving
+	if until := now.Add(min(n.Pause, maxPause)); n.Pause > 0 && until.After(r.pausedUntil) {
+		c.PauseBegan = !now.Before(r.pausedUntil)
+		r.pausedUntil = until
+	}
 	return c
 }
 
@@ -44,15 +54,26 @@
 func (r *Record) Leaving() bool { return r.leaving }
 
 // Restricted reports whether anything that the target said restricts the requests to it.
-func (r *Record) Restricted(time.Time) bool { return r.leaving || r.pace.Limited() }
+func (r *Record) Restricted(now time.Time) bool {
+	return r.leaving || r.pace.Limited() || now.Before(r.pausedUntil)
+}
 
 // Wait returns the time until a request may be sent to a target that does not leave.
-func (r *Record) Wait(now time.Time) time.Duration { return r.pace.Wait(now) }
+func (r *Record) Wait(now time.Time) time.Duration {
+	return max(r.pace.Wait(now), r.pausedUntil.Sub(now), 0)
+}
+
+// Paused reports whether the target wants no requests of this node now, whatever was reserved.
+func (r *Record) Paused(now time.Time) bool { return now.Before(r.pausedUntil) }
 
 // Reserve reserves the next request and returns the time until it may be sent. It returns false, and reserves nothing, when that
 // is longer than maxWait.
 func (r *Record) Reserve(now time.Time, maxWait time.Duration) (wait time.Duration, ok bool) {
-	return r.pace.Reserve(now, maxWait)
+	if wait := r.Wait(now); wait > maxWait {
+		return wait, false
+	}
+	wait, ok = r.pace.Reserve(now, maxWait)
+	return max(wait, r.pausedUntil.Sub(now)), ok
 }
 
 // Return gives back a reservation that was not used.
--- a/internal/query/notices.go
+++ b/internal/query/notices.go
@@ -110,6 +110,9 @@
 	if change.LimitEnded {
 		log.Info("target names no limit of requests any more")
 	}
+	if change.PauseBegan {
+		log.WithField("pause_ms", n.Pause.Milliseconds()).Info("target wants no requests of this node for a time")
+	}
 	if change.LeavingBegan {
 		log.Info("target says that it leaves")
 		t.pool.Close() // the calls in flight end as usual
@@ -145,6 +148,12 @@
 	return wait, ok
 }
 
+// isPaused reports whether the target wants no requests of this node now, also those that were reserved.
+func (t *targetClient) isPaused(now time.Time) (paused bool) {
+	t.report.use(func(r *notice.Record) { paused = r.Paused(now) })
+	return paused
+}
+
 // countRestricted adds or removes a restricted target.
 func (s *service) countRestricted(restricted bool) {
 	if restricted {
