--- a/internal/query/notices.go
+++ b/internal/query/notices.go
@@ -4,7 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
-	"sync"
+
 	"sync/atomic"
 	"time"
 
@@ -12,6 +12,7 @@
 
 	"github.com/medlarshunt/medlarshunt/internal/attempts"
 	"github.com/medlarshunt/medlarshunt/internal/notice"
+	"github.com/medlarshunt/medlarshunt/internal/panics"
 	"github.com/medlarshunt/medlarshunt/internal/published"
 )
 
@@ -31,7 +32,7 @@
 type selfReport struct {
 	restricted atomic.Bool
 
-	mu     sync.Mutex // guards record
+	mu     panics.Mutex // guards record
 	record *notice.Record
 }
 
