Let the stand-in reader go silent during a watch

A mutation of the follower that never asked readers again while the store turned the node away stayed green: the stand-in reader still answered the watch in flight after it had gone silent. The test is red with it now, and the others stay green on the code as it is.

--- a/internal/published/follower_test.go
+++ b/internal/published/follower_test.go
@@ -295,14 +295,20 @@
 }
 
 func (p *rankedPeers) Watch(ctx context.Context, id string, revision uint64, wait time.Duration) (Delta, error) {
-	p.mu.Lock()
-	reader := p.answering[id]
-	p.mu.Unlock()
-	if reader == nil {
-		<-ctx.Done()
-		return Delta{}, ctx.Err()
+	if reader := p.reader(id); reader != nil {
+		d := reader.WaitForDelta(ctx, revision, wait)
+		if p.reader(id) != nil { // otherwise the connection went silent during the call
+			return d, nil
+		}
 	}
-	return reader.WaitForDelta(ctx, revision, wait), nil
+	<-ctx.Done()
+	return Delta{}, ctx.Err()
+}
+
+func (p *rankedPeers) reader(id string) *Follower {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.answering[id]
 }
 
 func (p *rankedPeers) set(answering map[string]*Follower) {
