Run the test of shared evidence in virtual time

The test ran in real time and was listed in KNOWN-RED.txt: 1 of 96 runs beside load had counted 12 instead of 7 requests.

The run of 12 instead of 7 is not explained: it was not seen again here.

--- a/internal/gateway/core.go
+++ b/internal/gateway/core.go
@@ -77,7 +77,7 @@
 	c.engine = query.New(query.Config{Domain: cfg.Domain, Regions: cfg.Regions, Budget: cfg.Budget, Bootstrap: cfg.Bootstrap,
 		ResponseMemoryBytes: int64(responseMemoryShare * float64(cfg.MemoryLimitBytes)),
 	}, query.Deps{
-		Codec: deps.Codec, CrashCounter: c.crashCounter, Charts: charts, Log: deps.Log, Metrics: deps.MetricsSet, Panics: deps.Panics, Nodes: c.maxNodes, OnCrashRecord: c.publishCrashRecord,
+		Codec: deps.Codec, CrashCounter: c.crashCounter, Charts: charts, Log: deps.Log, Metrics: deps.MetricsSet, Panics: deps.Panics, Nodes: c.maxNodes, Dial: deps.DialTarget, OnCrashRecord: c.publishCrashRecord,
 	})
 	c.evidence = newEvidence(c)
 	followerDeps := published.Deps{Source: deps.Source, Log: deps.Log, Panics: deps.Panics, Metrics: deps.MetricsSet, OnChange: c.applyView}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 	"go.uber.org/fx"
 
+	"github.com/medlarshunt/medlarshunt/internal/httpcall"
 	"github.com/medlarshunt/medlarshunt/internal/panics"
 	"github.com/medlarshunt/medlarshunt/internal/peer"
 	"github.com/medlarshunt/medlarshunt/internal/published"
@@ -50,8 +51,9 @@
 	Handler         func(*query.Engine) http.Handler
 	StoppingHandler http.Handler
 	ReadyHandler    func(ready func() bool) http.Handler
-	DialPeer        peer.DialFunc   // nil dials TCP
-	Panics          *panics.Handler // nil contains no panics
+	DialPeer        peer.DialFunc     // nil dials TCP
+	DialTarget      httpcall.DialFunc // nil dials TCP
+	Panics          *panics.Handler   // nil contains no panics
 }
 
 // Gateway runs the components of one process.
