Tell refused callers when a target wants requests again

A request that all copies had refused with a time to wait was told to come back after 0.1 s, within the pause. The time comes from the targets' records now for all refusals of single requests, a second at most. The test of paused targets checks it; red before (0.1 s).

--- a/internal/query/attempt.go
+++ b/internal/query/attempt.go
@@ -42,8 +42,6 @@
 	notRun  bool // the request is proved not to have run in this attempt
 	elapsed time.Duration
 	err     error
-	// retryAfter is when the caller should come back, 0 if that is not known.
-	retryAfter time.Duration
 }
 
 func (r attemptResult) succeeded() bool { return r.failure == "" }
--- a/internal/query/limits_test.go
+++ b/internal/query/limits_test.go
@@ -47,6 +47,7 @@
 	answers map[query.Status]int
 	missing int             // parts left out of served answers
 	slowest time.Duration   // time until a refusal
+	longest time.Duration   // after which a refused caller was told to come back
 	refused map[string]bool // ids of refused requests
 }
 
@@ -135,6 +136,7 @@
 			if a.Status == query.Refused {
 				f.refused[id] = true
 				f.slowest = max(f.slowest, time.Since(arrived))
+				f.longest = max(f.longest, a.RetryAfter)
 				f.g.Expect(a.RetryAfter).To(BeNumerically(">", 0))
 			}
 		})
--- a/internal/query/notices.go
+++ b/internal/query/notices.go
@@ -199,7 +199,7 @@
 }
 
 // launchWhenWanted starts an attempt as soon as a target wants one, when all targets that could take it want none now. It returns
-// false when that is too late for the latency goal; noticeWait then holds the time.
+// false when that is too late for the latency goal; unwanted is set then.
 func (c *serviceCall) launchWhenWanted(ctx context.Context, l attempts.Launch, ended func(attemptResult)) bool {
 	if !c.service.isRestricted() || l.Kind == attempts.Hedge || len(c.sentTargets) >= c.route.MaxTargets {
 		return false
@@ -211,7 +211,7 @@
 	}
 	wait, ok := target.reserve(now, c.maxNoticeWait())
 	if !ok {
-		c.noticeWait = wait
+		c.unwanted = true
 		c.engine.metrics.noticeRefusals.Inc()
 		return false
 	}
@@ -250,8 +250,17 @@
 	return c.attempt(ctx, choice, kind, false)
 }
 
-// noticeRetryAfter returns when callers should come back after a refusal because of what targets said.
-func noticeRetryAfter(wait time.Duration) time.Duration {
+// retryAfter returns when the caller of a refused request should come back: when a target of the service wants requests of this
+// node again.
+func (e *Engine) retryAfter(s *service) time.Duration {
+	if !s.isRestricted() {
+		return busyRetryAfter
+	}
+	_, wait := e.soonest(s, nil, time.Now())
+	return boundRetryAfter(wait)
+}
+
+func boundRetryAfter(wait time.Duration) time.Duration {
 	return min(max(wait, busyRetryAfter), maxNoticeRetryAfter)
 }
 
@@ -276,5 +285,5 @@
 		return Answer{}, false
 	}
 	s.engine.metrics.noticeRefusals.Inc()
-	return Answer{Status: Refused, Reason: "too few shards have a target that wants requests now", RetryAfter: noticeRetryAfter(longest)}, true
+	return Answer{Status: Refused, Reason: "too few shards have a target that wants requests now", RetryAfter: boundRetryAfter(longest)}, true
 }
--- a/internal/query/notices_test.go
+++ b/internal/query/notices_test.go
@@ -120,6 +120,7 @@
 					} else {
 						f.g.Expect(f.answers[query.Refused]).To(BeNumerically(">", 50))
 						f.g.Expect(f.slowest).To(BeNumerically("<", 200*time.Millisecond))
+						f.g.Expect(f.longest).To(Equal(time.Second), "the pause is longer")
 					}
 				})
 			})
--- a/internal/query/serve.go
+++ b/internal/query/serve.go
@@ -173,7 +173,7 @@
 	case res.reply != nil && !res.notRun && !s.isUnprovenRefusal(res.reply):
 		return Answer{Status: Served, Reply: res.reply}
 	case res.notRun:
-		return Answer{Status: Refused, Reason: "no target ran the request: " + string(res.failure), RetryAfter: max(busyRetryAfter, res.retryAfter)}
+		return Answer{Status: Refused, Reason: "no target ran the request: " + string(res.failure), RetryAfter: s.engine.retryAfter(call.service)}
 	case errors.Is(context.Cause(ctx), errTimeout):
 		return Answer{Status: TimedOut, Reason: "no answer in time"}
 	default:
--- a/internal/query/work.go
+++ b/internal/query/work.go
@@ -51,9 +51,9 @@
 	deadline   time.Time
 
 	// The fields below belong to the goroutine of run.
-	sentTargets     []string      // targets that the request was or may have been written to
-	excludedTargets []string      // targets that are not tried again
-	noticeWait      time.Duration // set when no target wants a request soon enough
+	sentTargets     []string // targets that the request was or may have been written to
+	excludedTargets []string // targets that are not tried again
+	unwanted        bool     // no target wants a request soon enough, by what they said
 	summary         attemptSummary
 }
 
@@ -106,8 +106,8 @@
 func (c *serviceCall) runAttempts(ctx context.Context) attemptResult {
 	outcome := attempts.Run[attemptResult](ctx, c, c.service.budget, attemptLimits)
 	switch {
-	case outcome.NoTarget && c.noticeWait > 0:
-		return attemptResult{failure: failureUnwanted, notRun: true, retryAfter: noticeRetryAfter(c.noticeWait)}
+	case outcome.NoTarget && c.unwanted:
+		return attemptResult{failure: failureUnwanted, notRun: true}
 	case outcome.NoTarget:
 		return attemptResult{failure: failureUnreachable, notRun: true}
 	case outcome.Cancelled:
