End the pick when a target becomes restricted meanwhile

Found when reading the diff: the pick left out targets that had just refused a reservation only if the service had a restricted target when it began. When the first one became restricted between the two, the pick chose it again without end and used a whole core. TestPickEndsWhenATargetBecomesRestrictedMeanwhile hung before. The pick always leaves them out now.

--- a/internal/query/work.go
+++ b/internal/query/work.go
@@ -192,9 +192,8 @@
 func (c *serviceCall) pickWilling(request balance.Request) (balance.Choice, bool) {
 	now := time.Now()
 	unwilling := c.engine.unwilling(c.service, now)
-	if eligible := request.Eligible; c.service.isRestricted() {
-		request.Eligible = func(id string) bool { return !slices.Contains(unwilling, id) && (eligible == nil || eligible(id)) }
-	}
+	eligible := request.Eligible
+	request.Eligible = func(id string) bool { return !slices.Contains(unwilling, id) && (eligible == nil || eligible(id)) }
 	for {
 		choice, ok := c.service.picker.Pick(request, now, newRand())
 		if !ok {
