Keep no peer connection that opens while the pool closes

Found when reading the diff: a dial that ended after Close put its connection into the pool, where nothing closed it. TestPoolClosedDuringADialKeepsNoConnection, red before.

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -135,6 +135,12 @@
 	return pc, nil
 }
 
+func (p *Pool) isClosed() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.closed
+}
+
 // goUnlessClosed runs fn in the background, unless the pool is closed.
 func (p *Pool) goUnlessClosed(fn func()) bool {
 	p.mu.Lock()
@@ -293,6 +299,11 @@
 		pc.mu.Unlock()
 		return eris.Wrapf(err, "dial peer %s", pc.address)
 	}
+	if p.isClosed() {
+		pc.mu.Unlock()
+		conn.Close()
+		return errClosed
+	}
 	p.metrics.opened.Inc()
 	ended := pc.current
 	pc.lastDialFailure, pc.current = time.Time{}, newLink(conn)
--- a/internal/peer/silence_test.go
+++ b/internal/peer/silence_test.go
@@ -163,3 +163,21 @@
 		g.Expect(err).NotTo(HaveOccurred())
 	})
 }
+
+// Guards against a connection that is opened while the pool closes and stays open for good.
+func TestPoolClosedDuringADialKeepsNoConnection(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		d := newDistantPeer(g, 50*time.Millisecond) // a dial takes 100 ms
+		defer d.server.Close()
+		failed := make(chan error, 1)
+		go func() {
+			_, err := d.call(t, "run", time.Second)
+			failed <- err
+		}()
+		time.Sleep(20 * time.Millisecond)
+		d.pool.Close()
+		g.Expect(failureKind(g, <-failed)).To(Equal(peer.FailureNotSent))
+		g.Expect(d.opened()).To(BeZero())
+	})
+}
