Let nodes fetch the state of a peer that is ahead

Cause: a node that neither the store nor a reader of its failure domain serves fetches the state of a peer that is ahead. That call sent an empty object as its parameters, and the handler takes none: every fetch has been answered 'no parameters accepted' since it was written. The failure was logged at debug level only, and other ways (the store, a reader) hid it.

Change: no parameters. The first failed fetch in a row is logged, and all are counted.

--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -51,7 +51,7 @@
 	if !ok {
 		return s, errNoPeer
 	}
-	err := p.peers.Call(ctx, address, peer.MethodFetchState, struct{}{}, &s)
+	err := p.peers.Call(ctx, address, peer.MethodFetchState, nil, &s) // the method takes no parameters, not even an empty object
 	return s, err
 }
 
--- a/internal/published/follower.go
+++ b/internal/published/follower.go
@@ -128,6 +128,8 @@
 
 	cancelWatch atomic.Pointer[context.CancelFunc] // cancels the watch in progress
 
+	fetchFailed bool // the last fetch from a peer failed; used by pollPeers only
+
 	// Used by followChanges only.
 	startedAt    time.Time
 	storeRetryAt time.Time // the store is not read before
@@ -385,9 +387,14 @@
 	f.metrics.fetches.Inc()
 	s, err := f.deps.Peers.Fetch(ctx, v.Revision, v.Version())
 	if err != nil {
-		f.deps.Log.WithError(err).Debug("cannot fetch the state of a peer")
+		f.metrics.fetchFailures.Inc()
+		if !f.fetchFailed {
+			f.deps.Log.WithError(err).WithField("revision", v.Revision).Info("cannot fetch the state of a peer that is ahead")
+		}
+		f.fetchFailed = true
 		return
 	}
+	f.fetchFailed = false
 	f.merge("peer", func(st *state, now time.Time) outcome { return st.adoptSnapshot(s, now) })
 }
 
