Reserve addresses for the processes of tests

Cause: the tests looked a free port up and let go of it before the process listened on it, and again at each restart.

Ruled out: a fault of the product at start or under load.

Change: tests reserve addresses on an address of 127.0.0.0/8 of their own, which no socket on a port of the system's choice can take, and hold a claim on it until they end. test/e2e had the same fault for its peer addresses.

--- a/test/e2e/deployment_test.go
+++ b/test/e2e/deployment_test.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -21,6 +20,7 @@
 	"github.com/medlarshunt/medlarshunt/internal/configservice"
 	"github.com/medlarshunt/medlarshunt/internal/fleet"
 	"github.com/medlarshunt/medlarshunt/test/check"
+	"github.com/medlarshunt/medlarshunt/test/loopback"
 )
 
 const (
@@ -165,7 +165,7 @@
 // startNode starts a node process. Only this function knows the flags of the node command.
 func (d *deployment) startNode(domain string, ordinal int) *node {
 	d.t.Helper()
-	m := &node{domain: domain, ordinal: ordinal, peerAddress: freeAddress(d.g)}
+	m := &node{domain: domain, ordinal: ordinal, peerAddress: loopback.Reserve(d.t, 1)[0]}
 	args := []string{"node", "--domain", domain, "--region", "main", "--ordinal", strconv.Itoa(ordinal),
 		"--caller-listen", "127.0.0.1:0", "--peer-listen", m.peerAddress, "--admin-listen", "127.0.0.1:0",
 		"--platform-url", "http://" + d.platformAddress, "--grace", "5s"}
@@ -182,14 +182,6 @@
 	return m
 }
 
-// freeAddress returns a loopback address that nothing listens on. The settings of a node require a fixed peer address.
-func freeAddress(g *WithT) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	g.Expect(err).NotTo(HaveOccurred())
-	defer l.Close()
-	return l.Addr().String()
-}
-
 // followReadiness probes the readiness of the nodes until the test ends, as the platform's load balancer does.
 func (d *deployment) followReadiness() {
 	end := make(chan struct{})
--- a/test/platform/platform_test.go
+++ b/test/platform/platform_test.go
@@ -21,6 +21,7 @@
 
 	"github.com/medlarshunt/medlarshunt/internal/standin/kvsim"
 	"github.com/medlarshunt/medlarshunt/internal/standin/shardsim"
+	"github.com/medlarshunt/medlarshunt/test/loopback"
 )
 
 const (
@@ -104,18 +105,6 @@
 	return l
 }
 
-// freeAddresses returns n different addresses that nothing listens on. It holds all of them until the last is chosen, so
-// that none is returned twice.
-func freeAddresses(g *WithT, n int) []string {
-	var addresses []string
-	for range n {
-		l := listen(g)
-		defer l.Close()
-		addresses = append(addresses, l.Addr().String())
-	}
-	return addresses
-}
-
 func newDeployment(t *testing.T, nodes int) *deployment {
 	s := &deployment{t: t, g: NewWithT(t), store: kvsim.New(), targets: map[string]*shardsim.Target{},
 		targetAddresses: map[string]string{}}
@@ -129,7 +118,7 @@
 		}
 	}
 	s.publishConfiguration("/desk/")
-	addresses := freeAddresses(s.g, 4*nodes)
+	addresses := loopback.Reserve(t, 4*nodes)
 	for i := range nodes {
 		own := addresses[4*i : 4*i+4]
 		p := &process{
