Soak: targets that leave and targets that want no requests for a time

Besides limits, one target of a shard now says that it leaves, and one refuses with the time after which it wants requests again, while no other fault is injected but connections that go silent. Checked from what callers and targets see: no request that was sent 3 s after its node had passed on that a target leaves reaches it, and from half a second after a refusal at most two requests of the node until the end of the pause. Random faults include refusals with a pause and short limits. The id of a request names the node it was sent to.

--- a/test/platform/platform_test.go
+++ b/test/platform/platform_test.go
@@ -240,6 +240,15 @@
 	return resp.StatusCode == http.StatusOK
 }
 
+// nodeInID comes before the name of the node in the id of a request.
+const nodeInID = "-to-"
+
+// nodeOfRequest returns the name of the node that a request was sent to.
+func nodeOfRequest(id string) string {
+	_, node, _ := strings.Cut(id, nodeInID)
+	return node
+}
+
 // caller is an HTTP client with persistent connections.
 type caller struct {
 	http      *http.Client
@@ -251,10 +260,10 @@
 	return &caller{http: &http.Client{Transport: &http.Transport{}}, name: name}
 }
 
-// send sends a request with a new request id and returns the response, the id and the body.
+// send sends a request with a new request id, which names the node, and returns the response, the id and the body.
 func (c *caller) send(p *process, method, path string) (*http.Response, string, string, error) {
 	c.sentCount++
-	id := fmt.Sprintf("%s-%d", c.name, c.sentCount)
+	id := fmt.Sprintf("%s-%d%s%s", c.name, c.sentCount, nodeInID, p.name)
 	req, err := http.NewRequest(method, "http://"+p.frontAddress+path, nil)
 	if err != nil {
 		return nil, id, "", err
--- a/test/platform/soak_test.go
+++ b/test/platform/soak_test.go
@@ -115,6 +115,7 @@
 	start, end     time.Time
 	code           int // 0 when the connection ended without an answer
 	err            error
+	targets        []string // whose answers are in the answer of a search
 }
 
 func newSoak(t *testing.T, seed uint64, nodes int) *soak {
@@ -172,12 +173,14 @@
 	}
 	injectors.Wait()
 	s.endFaults()
-	limits, named := s.nameLimits(), time.Now()
+	said := s.letTargetsSpeak()
 	s.checkConfiguration()
-	s.checkLimits(limits, named)
+	s.checkLimits(said)
 	s.checkDrain()
 	close(s.stop)
 	s.wg.Wait()
+	s.checkLeaving(said)
+	s.checkPause(said)
 	s.checkRequests()
 }
 
@@ -193,7 +196,7 @@
 	id := ids[rnd.IntN(len(ids))]
 	proxyFaults := []proxyFault{delaying, refusing, dropAnswers, blackhole}
 	targetFaults := []shardsim.Faults{{Paused: true}, {Shed: true}, {Error: true}, {ExtraAnswer: true}, {NoContentLength: true}, {Truncate: true}, {LoseAnswer: true},
-		{LateCopy: true}, {EndlessHead: true}, {EndlessBody: true}}
+		{LateCopy: true}, {EndlessHead: true}, {EndlessBody: true}, {Shed: true, RetryAfter: "0.7"}, {Limit: 8}}
 	storeModes := []kvsim.Mode{kvsim.Unavailable, kvsim.TooManyRequests, kvsim.Reset, kvsim.Unresponsive}
 	switch rnd.IntN(12) {
 	case 10:
@@ -296,7 +299,7 @@
 		r.id, r.end, r.err = id, time.Now(), err
 		if err == nil {
 			r.code = resp.StatusCode
-			s.checkAnswer(r, resp, body)
+			r.targets = s.checkAnswer(r, resp, body)
 		}
 		s.mu.Lock()
 		s.requests = append(s.requests, r)
@@ -310,13 +313,13 @@
 	s.violations = append(s.violations, fmt.Sprintf(format, args...))
 }
 
-// checkAnswer checks that an answer is complete and belongs to the request.
-func (s *soak) checkAnswer(r requestRecord, resp *http.Response, body string) {
+// checkAnswer checks that an answer is complete and belongs to the request. It returns the targets of the parts of a search.
+func (s *soak) checkAnswer(r requestRecord, resp *http.Response, body string) (targets []string) {
 	if resp.StatusCode != http.StatusOK {
 		if resp.StatusCode == http.StatusNotFound {
 			s.addViolation("%s %s: status 404 although every version has the route", r.id, r.path)
 		}
-		return
+		return nil
 	}
 	if r.path == "/desk/x" {
 		target, ok := strings.CutSuffix(resp.Header.Get("X-Server-Stamp"), "."+r.id)
@@ -324,7 +327,7 @@
 			s.addViolation("%s: answer with stamp %q is not the complete answer of a target to this request",
 				r.id, resp.Header.Get("X-Server-Stamp"))
 		}
-		return
+		return nil
 	}
 	var records []string
 	services := map[string]bool{}
@@ -332,9 +335,10 @@
 		target, ok := strings.CutSuffix(stamp, "."+r.id)
 		if !ok || s.targets[target] == nil || services[serviceOfTarget(target)] {
 			s.addViolation("%s: part %q belongs to another request or is a duplicate", r.id, stamp)
-			return
+			return nil
 		}
 		services[serviceOfTarget(target)] = true
+		targets = append(targets, target)
 		part := string(s.targets[target].Body(r.id))
 		for ; len(part) >= shardsim.RecordBytes; part = part[shardsim.RecordBytes:] {
 			records = append(records, part[:shardsim.RecordBytes])
@@ -348,6 +352,7 @@
 	if body != strings.Join(records[:min(4, len(records))], "") {
 		s.addViolation("%s: the body does not hold the greatest records of its parts", r.id)
 	}
+	return targets
 }
 
 // watchVersions checks that a node never serves an older version than one that it has served before, until it is restarted.
@@ -441,25 +446,96 @@
 	limitSlack  = 5
 )
 
-// nameLimits makes a target of a shard and one of the single service name limits.
-func (s *soak) nameLimits() map[string]float64 {
-	limits := map[string]float64{"i-shard-0-0": 5 + 20*s.rnd.Float64(), "i-desk-1": 2 + 8*s.rnd.Float64()}
-	for id, limit := range limits {
+// statements is what targets say of themselves while no other fault is injected.
+type statements struct {
+	limits  map[string]float64 // requests a second, by target
+	named   time.Time          // when the limits were named and the target began to leave
+	leaving string             // a target that leaves
+	// pausing refuses requests from pauseBegan to pauseEnded and wants none for pauseTime then.
+	pausing                string
+	pauseBegan, pauseEnded time.Time
+}
+
+const (
+	pauseTime = 3 * time.Second
+	// crossingTime is the time after its refusal from which no more than maxPausedArrivals requests of a node may reach a target that
+	// wants none.
+	crossingTime      = 500 * time.Millisecond
+	maxPausedArrivals = 2
+	// drainTime is the time after the answer from which requests of callers must not reach a target that has said that it leaves.
+	drainTime = 3 * time.Second
+)
+
+// letTargetsSpeak makes a target of a shard and one of the single service name limits, a second one leave and a third one pause.
+func (s *soak) letTargetsSpeak() statements {
+	said := statements{
+		limits:  map[string]float64{"i-shard-0-0": 5 + 20*s.rnd.Float64(), "i-desk-1": 2 + 8*s.rnd.Float64()},
+		leaving: "i-shard-2-1", pausing: "i-shard-1-0", named: time.Now(),
+	}
+	for id, limit := range said.limits {
 		s.targets[id].SetFaults(shardsim.Faults{Limit: limit})
 	}
-	return limits
+	s.targets[said.leaving].SetFaults(shardsim.Faults{Leaving: true})
+	said.pauseBegan = time.Now()
+	s.targets[said.pausing].SetFaults(shardsim.Faults{Shed: true, RetryAfter: fmt.Sprint(pauseTime.Seconds())})
+	time.Sleep(crossingTime)
+	s.targets[said.pausing].SetFaults(shardsim.Faults{})
+	said.pauseEnded = time.Now()
+	time.Sleep(crossingTime / 2) // the refusals reach the nodes before connections go silent
+	return said
+}
+
+// checkPause checks that nodes that a target has refused send it nothing until it wants requests again.
+func (s *soak) checkPause(said statements) {
+	refused, late := map[string]time.Time{}, map[string]int{}
+	for _, a := range s.targets[said.pausing].Arrivals() {
+		node := nodeOfRequest(a.ID)
+		first, ok := refused[node]
+		switch {
+		case !ok && a.At.After(said.pauseBegan) && a.At.Before(said.pauseEnded):
+			refused[node] = a.At
+		case ok && a.At.Sub(first) > crossingTime && a.At.Sub(first) < pauseTime:
+			late[node]++
+		}
+	}
+	for node, n := range late {
+		if n > maxPausedArrivals {
+			s.addViolation("%s sent %d requests to %s, which wanted none for %s", node, n, said.pausing, pauseTime)
+		}
+	}
+	s.t.Logf("%d nodes were refused by a target that wanted no requests", len(refused))
+}
+
+// checkLeaving checks that nodes that have passed on an answer of a target that leaves send it no requests of callers any more.
+func (s *soak) checkLeaving(said statements) {
+	passedOn := map[string]time.Time{}
+	sent := map[string]time.Time{} // by request id
+	for _, r := range s.requests {
+		sent[r.id] = r.start
+		first, ok := passedOn[r.node]
+		if r.start.After(said.named) && slices.Contains(r.targets, said.leaving) && (!ok || r.end.Before(first)) {
+			passedOn[r.node] = r.end
+		}
+	}
+	for _, a := range s.targets[said.leaving].Arrivals() {
+		heard, ok := passedOn[nodeOfRequest(a.ID)]
+		if start := sent[a.ID]; ok && start.Sub(heard) > drainTime {
+			s.addViolation("%s was sent %s after its node had passed on that %s leaves, and reached it", a.ID, start.Sub(heard), said.leaving)
+		}
+	}
+	s.t.Logf("%d nodes passed on that a target leaves", len(passedOn))
 }
 
 // checkLimits checks that all nodes together have kept the limits that targets named, and ends them.
-func (s *soak) checkLimits(limits map[string]float64, named time.Time) {
-	time.Sleep(time.Until(named.Add(contactTime + limitWindow/2)))
-	for id, limit := range limits {
+func (s *soak) checkLimits(said statements) {
+	time.Sleep(time.Until(said.named.Add(contactTime + limitWindow/2)))
+	for id, limit := range said.limits {
 		arrivals, first := s.targets[id].Arrivals(), 0
 		for i, a := range arrivals {
 			for a.At.Sub(arrivals[first].At) > limitWindow {
 				first++
 			}
-			if allowed := limitFactor*limit*limitWindow.Seconds() + limitSlack; a.At.Sub(named) > contactTime && float64(i-first+1) > allowed {
+			if allowed := limitFactor*limit*limitWindow.Seconds() + limitSlack; a.At.Sub(said.named) > contactTime && float64(i-first+1) > allowed {
 				s.addViolation("%s named a limit of %.1f a second and got %d requests in %s, allowed %.0f", id, limit, i-first+1, limitWindow, allowed)
 				break
 			}
