Count a target that names a limit once while the list of targets changes

Callers would have seen nothing; a target could have got more requests than the limit that it named, until the next change of the list.

Cause: whether any target of a service restricts requests is a counter. An answer changed the target's own mark and then the counter, without a lock that the list of targets respects, and a list that was applied between the two counted the target as well. Found by reading.

Ruled out as enough: counting anew in the answer, since two answers of two targets can then overwrite each other's result.

Change: an answer changes both while it holds the engine's lock for reading; a list holds it for writing, so it sees both or neither. An answer of a target that is no longer listed does not count.

--- a/internal/query/notices.go
+++ b/internal/query/notices.go
@@ -95,15 +95,7 @@
 	if n == (notice.Notice{}) && !r.restricted.Load() {
 		return // the usual case takes no lock
 	}
-	now := time.Now()
-	r.mu.Lock()
-	change := r.record.Hear(n, now)
-	restricted := r.record.Restricted(now)
-	wasRestricted := r.restricted.Swap(restricted)
-	r.mu.Unlock()
-	if restricted != wasRestricted {
-		t.service.countRestricted(restricted)
-	}
+	change := e.note(t, n, time.Now())
 	log := e.deps.Log.WithFields(logrus.Fields{"target": t.id, "service": t.service.name, "started_at_ms": t.startedAtMS})
 	if change.LimitBegan {
 		log.WithField("limit_per_s", n.RequestsPerSecond).Info("target names a limit of requests")
@@ -120,6 +112,23 @@
 	}
 }
 
+// note changes the report of a target by an answer and counts the target in its service if it became or ceased to be restricted. A
+// list of targets that is applied meanwhile counts anew, so it must see both or neither.
+func (e *Engine) note(t *targetClient, n notice.Notice, now time.Time) notice.Change {
+	e.mu.RLock()
+	defer e.mu.RUnlock()
+	r := t.report
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	change := r.record.Hear(n, now)
+	restricted := r.record.Restricted(now)
+	isListed := slices.ContainsFunc(t.service.clients, func(c *targetClient) bool { return c.report == r })
+	if r.restricted.Swap(restricted) != restricted && isListed {
+		t.service.countRestricted(restricted)
+	}
+	return change
+}
+
 // setSharingNodes sets the number of nodes that share the limit of the target.
 func (t *targetClient) setSharingNodes(nodes int, now time.Time) {
 	t.report.mu.Lock()
--- a/internal/query/notices_test.go
+++ b/internal/query/notices_test.go
@@ -3,9 +3,11 @@
 import (
 	"fmt"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
+	"github.com/medlarshunt/medlarshunt/internal/notice"
 	"github.com/medlarshunt/medlarshunt/internal/published"
 	"github.com/medlarshunt/medlarshunt/internal/query"
 	"github.com/medlarshunt/medlarshunt/internal/routing"
@@ -127,3 +129,20 @@
 		}
 	}
 }
+
+// Guards against a service whose limits are ignored, since an answer that changed one of them came while the list of targets was
+// updated and was counted twice or not at all.
+func TestLimitsAreCountedRightlyWhileTheListOfTargetsChanges(t *testing.T) {
+	f := newFleet(t, 1, 1, 2, routing.Idempotent)
+	e := f.engines[0]
+	for round := range 20000 {
+		var changes sync.WaitGroup
+		for _, id := range []string{"shard-0-0", "shard-0-1"} {
+			changes.Go(func() { e.HearFrom(id, notice.Notice{Limited: round%2 == 0, RequestsPerSecond: 10}) })
+		}
+		changes.Go(f.update)
+		changes.Wait()
+		counted, actual := e.RestrictedTargets("shard-0")
+		f.g.Expect(counted).To(Equal(actual), "round %d", round)
+	}
+}
