Tell other nodes of the failure domain which targets say that they leave

Callers of a node that calls a target rarely could lose a request: the target says to others that it leaves and is gone when this node next calls it.

A receiver takes note of those that it lists in the same incarnation. Only what a target said to the node itself is passed on. Limits and pauses stay with the node: a limit is divided among the nodes anyway, and a pause concerns one of them.

TestNodesTellEachOtherThatATargetLeaves: with the messages ignored, 9 requests of 8 nodes reached the leaving target; now none. With the incarnation not compared, a late message took the next incarnation out. What this brings on the users' deployments was not measured.

An incarnation of a target is now one value of the client, so that it can be read without the engine's lock.

--- a/internal/notice/notice.go
+++ b/internal/notice/notice.go
@@ -47,6 +47,13 @@
 	return c
 }
 
+// Leave takes note that the target leaves, by the word of another node that it has told. It reports whether that is news.
+func (r *Record) Leave() bool {
+	isNews := !r.leaving
+	r.leaving = true
+	return isNews
+}
+
 // SetNodes sets the number of nodes that share the limit.
 func (r *Record) SetNodes(nodes int, now time.Time) { r.pace.SetNodes(nodes, now) }
 
--- a/internal/notice/notice_test.go
+++ b/internal/notice/notice_test.go
@@ -44,3 +44,14 @@
 	g.Expect(wait).To(Equal(300 * time.Millisecond))
 	g.Expect(r.Wait(t0)).To(Equal(time.Second))
 }
+
+// Guards against a limit that ends because another node tells that the target leaves.
+func TestLeavingToldByAnotherNodeKeepsTheLimit(t *testing.T) {
+	g := NewWithT(t)
+	r := NewRecord(0)
+	r.Hear(Notice{Limited: true, RequestsPerSecond: 10}, t0)
+	g.Expect(r.Leave()).To(BeTrue())
+	g.Expect(r.Leave()).To(BeFalse(), "no news")
+	g.Expect(r.Hear(Notice{Leaving: true}, t0)).To(Equal(Change{LimitEnded: true}))
+	g.Expect(r.Leaving()).To(BeTrue())
+}
--- a/internal/query/engine.go
+++ b/internal/query/engine.go
@@ -53,6 +53,7 @@
 	rtts               *rttTable
 	memory             *memlimit.Limit
 	crashChecks        crashChecks
+	departures         departures
 	firstConfiguration chan struct{} // closed when the first configuration is known
 
 	mu            panics.RWMutex // guards the fields below
--- a/internal/query/export_test.go
+++ b/internal/query/export_test.go
@@ -16,10 +16,7 @@
 
 // HearFrom takes note of what a target says of itself, as after an answer.
 func (e *Engine) HearFrom(id string, n notice.Notice) {
-	e.mu.RLock()
-	t := e.targets[id]
-	e.mu.RUnlock()
-	e.hear(t, n)
+	e.hear(e.listedClient(id), n)
 }
 
 // RestrictedTargets returns how many targets of a service restrict the requests to them, as counted and as their reports say.
--- a/internal/query/metrics.go
+++ b/internal/query/metrics.go
@@ -18,6 +18,7 @@
 	missingParts        *metrics.Counter
 	noticeWaits         *metrics.Counter // attempts that waited until a target wanted them
 	noticeRefusals      *metrics.Counter // attempts and requests without a target that wants them
+	departuresTold      *metrics.Counter // targets of which another node told first that they leave
 	hedgesWithoutBudget *metrics.Counter // hedges and retries that found no budget
 }
 
@@ -29,6 +30,7 @@
 		missingParts:        set.GetOrCreateCounter("medlarshunt_missing_parts_total"),
 		noticeWaits:         set.GetOrCreateCounter("medlarshunt_notice_waits_total"),
 		noticeRefusals:      set.GetOrCreateCounter("medlarshunt_notice_refusals_total"),
+		departuresTold:      set.GetOrCreateCounter("medlarshunt_leaving_told_total"),
 		hedgesWithoutBudget: set.GetOrCreateCounter("medlarshunt_hedges_without_budget_total"),
 	}
 	for _, k := range []attempts.Kind{attempts.First, attempts.Hedge, attempts.Retry} {
--- a/internal/query/notices.go
+++ b/internal/query/notices.go
@@ -51,7 +51,7 @@
 // incarnation identifies one process of a target.
 type incarnation struct {
 	id, address, service string
-	startedAtMS          int64
+	startedAtMS          int64 // 0 if it is not published
 }
 
 func incarnationOf(t published.Target) incarnation {
@@ -95,8 +95,10 @@
 	if n == (notice.Notice{}) && !r.restricted.Load() {
 		return // the usual case takes no lock
 	}
-	change := e.note(t, n, time.Now())
-	log := e.deps.Log.WithFields(logrus.Fields{"target": t.id, "service": t.service.name, "started_at_ms": t.startedAtMS})
+	var change notice.Change
+	now := time.Now()
+	e.note(t, now, func(r *notice.Record) { change = r.Hear(n, now) })
+	log := e.deps.Log.WithFields(logrus.Fields{"target": t.id, "service": t.service.name, "started_at_ms": t.incarnation.startedAtMS})
 	if change.LimitBegan {
 		log.WithField("limit_per_s", n.RequestsPerSecond).Info("target names a limit of requests")
 	}
@@ -109,24 +111,24 @@
 	if change.LeavingBegan {
 		log.Info("target says that it leaves")
 		t.pool.Close() // the calls in flight end as usual
+		e.departures.add(t.incarnation, now)
 	}
 }
 
-// note changes the report of a target by an answer and counts the target in its service if it became or ceased to be restricted. A
-// list of targets that is applied meanwhile counts anew, so it must see both or neither.
-func (e *Engine) note(t *targetClient, n notice.Notice, now time.Time) notice.Change {
+// note changes what the report of a target says, and counts the target in its service if it became or ceased to be restricted. A list
+// of targets that is applied meanwhile counts anew, so it must see both or neither.
+func (e *Engine) note(t *targetClient, now time.Time, change func(*notice.Record)) {
 	e.mu.RLock()
 	defer e.mu.RUnlock()
 	r := t.report
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	change := r.record.Hear(n, now)
+	change(r.record)
 	restricted := r.record.Restricted(now)
 	isListed := slices.ContainsFunc(t.service.clients, func(c *targetClient) bool { return c.report == r })
 	if r.restricted.Swap(restricted) != restricted && isListed {
 		t.service.countRestricted(restricted)
 	}
-	return change
 }
 
 // setSharingNodes sets the number of nodes that share the limit of the target.
--- a/internal/query/notices_test.go
+++ b/internal/query/notices_test.go
@@ -1,6 +1,7 @@
 package query_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"strings"
 	"sync"
@@ -130,6 +131,43 @@
 	}
 }
 
+// mergeEvidence passes what one node tells others to other nodes, as a message.
+func (f *fleet) mergeEvidence(told []query.ServiceEvidence, to []*query.Engine) {
+	text, err := json.Marshal(told)
+	f.g.Expect(err).NotTo(HaveOccurred())
+	for _, e := range to {
+		var received []query.ServiceEvidence
+		f.g.Expect(json.Unmarshal(text, &received)).To(Succeed())
+		e.MergeEvidence(received, time.Now())
+	}
+}
+
+// Guards against requests to a target that is gone by then, from a node that calls it rarely and did not hear that it leaves while others
+// did. A new incarnation at the same address is used, also when a message about the old one comes late.
+func TestNodesTellEachOtherThatATargetLeaves(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		f := newFleet(t, 9, 1, 3, routing.NonIdempotent)
+		nodes := f.engines
+		f.targets["shard-0-0"].SetFaults(shardsim.Faults{Leaving: true})
+		f.engines = nodes[:1]
+		f.load(100, time.Second, 1)
+		evidence, told := nodes[0].TakeEvidence(time.Now()), time.Now()
+		f.mergeEvidence(evidence, nodes[1:])
+		f.targets["shard-0-0"].SetFaults(shardsim.Faults{LoseAnswer: true})
+		f.engines = nodes[1:]
+		f.load(100, 3*time.Second, 2)
+		f.g.Expect(f.arrivalsFrom("shard-0-0", told, time.Now())).To(BeEmpty())
+		f.g.Expect(f.answers).To(HaveLen(1), "all are served: %v", f.answers)
+
+		f.targets["shard-0-0"].SetFaults(shardsim.Faults{})
+		f.restartTarget("shard-0")
+		f.mergeEvidence(evidence, nodes[1:])
+		restarted := time.Now()
+		f.load(100, learnTime, 3)
+		f.g.Expect(f.arrivalsFrom("shard-0-0", restarted, time.Now())).To(HaveLen(8), "the new incarnation gets requests of every node")
+	})
+}
+
 // Guards against a service whose limits are ignored, since an answer that changed one of them came while the list of targets was
 // updated and was counted twice or not at all.
 func TestLimitsAreCountedRightlyWhileTheListOfTargetsChanges(t *testing.T) {
--- a/internal/query/service.go
+++ b/internal/query/service.go
@@ -26,18 +26,13 @@
 // targetClient holds the connections of this node to one incarnation of a target.
 type targetClient struct {
 	id          string
-	startedAtMS int64            // start of the incarnation, 0 if it is not published
+	incarnation incarnation
 	info        published.Target // guarded by mu of the engine
 	service     *service
 	pool        *httpcall.Pool
 	report      *selfReport // what the incarnation says of itself
 }
 
-// isSameIncarnation reports whether a registration has the address, start time and service of the connected process.
-func (t *targetClient) isSameIncarnation(o published.Target) bool {
-	return t.info.Address == o.Address && t.info.StartedAtMS == o.StartedAtMS && t.info.Service == o.Service
-}
-
 const (
 	// defaultDomainRTT, defaultRegionRTT and defaultRemoteRTT are the round-trip times assumed until connections have measured
 	// them: within the failure domain, to another one of the region, and to another region.
@@ -109,7 +104,7 @@
 	current := make([]*targetClient, 0, len(list))
 	for _, info := range list {
 		t := e.targets[info.ID]
-		restarted := t != nil && !t.isSameIncarnation(info)
+		restarted := t != nil && t.incarnation != incarnationOf(info)
 		if t == nil || restarted {
 			t = e.newClient(s, info, now)
 		}
@@ -147,7 +142,7 @@
 func (e *Engine) newClient(s *service, info published.Target, now time.Time) *targetClient {
 	domain := info.Domain
 	return &targetClient{
-		id: info.ID, startedAtMS: info.StartedAtMS, info: info, service: s, report: e.formerReports.take(info, now),
+		id: info.ID, incarnation: incarnationOf(info), info: info, service: s, report: e.formerReports.take(info, now),
 		pool: httpcall.NewPool(httpcall.Config{
 			Address: info.Address, MaxConnections: 1, Dial: e.deps.Dial, Panics: e.deps.Panics,
 			OnDial: func(d time.Duration) { e.rtts.observe(domain, d) },
@@ -186,6 +181,13 @@
 	}
 }
 
+// listedClient returns the client of a target, or nil if the target is not registered.
+func (e *Engine) listedClient(id string) *targetClient {
+	e.mu.RLock()
+	defer e.mu.RUnlock()
+	return e.targets[id]
+}
+
 // client returns the client of a target, or nil if the target is draining, leaves or is not registered.
 func (e *Engine) client(id string) *targetClient {
 	e.mu.RLock()
@@ -226,26 +228,29 @@
 	return e.rtts.rtt(t.info.Domain)
 }
 
-// ServiceEvidence is what a node observed of the health of the targets of one service.
+// ServiceEvidence is what a node tells others of the targets of one service.
 type ServiceEvidence struct {
 	Service string             `json:"service"`
-	Targets []balance.Evidence `json:"targets"`
+	Targets []balance.Evidence `json:"targets"`           // observations of their health
+	Leaving []LeavingTarget    `json:"leaving,omitempty"` // those that have lately told the node that they leave
 }
 
-// TakeEvidence returns the observations of failing or slow targets that were not returned before.
+// TakeEvidence returns the observations of failing or slow targets that were not returned before, and the targets that have
+// lately said that they leave.
 func (e *Engine) TakeEvidence(now time.Time) []ServiceEvidence {
+	leaving := e.departures.recent(now)
 	e.mu.RLock()
 	defer e.mu.RUnlock()
 	var all []ServiceEvidence
 	for name, s := range e.services {
-		if observed := s.picker.TakeEvidence(now); len(observed) > 0 {
-			all = append(all, ServiceEvidence{Service: name, Targets: observed})
+		if observed := s.picker.TakeEvidence(now); len(observed)+len(leaving[name]) > 0 {
+			all = append(all, ServiceEvidence{Service: name, Targets: observed, Leaving: leaving[name]})
 		}
 	}
 	return all
 }
 
-// MergeEvidence adds a peer's observations of targets to those of this node.
+// MergeEvidence adds what a peer has observed of targets, and what they have told it, to what this node knows.
 func (e *Engine) MergeEvidence(all []ServiceEvidence, now time.Time) {
 	for _, observed := range all {
 		s := e.service(observed.Service)
@@ -255,5 +260,6 @@
 		for _, t := range observed.Targets {
 			s.picker.MergeEvidence(t, now)
 		}
+		e.mergeDepartures(observed.Service, observed.Leaving, now)
 	}
 }
