Let requests lapse that wait for a connection to a limited target

What a target would have seen: one that names a limit and stands still for some seconds got everything that had waited for it at once.

Cause: a request takes its place in the limit when its target is picked and is written when a connection comes free, however much later. All that fell due while the target stood still was then written within a quarter of a second, beside what fell due at that moment. And a place that was given back could be taken again after it had lapsed.

Change: just before the write, a request that fell due over half a second ago takes the next place if that is due, and is otherwise not written: it goes to another target or is truly refused. A lapsed place is not given back. Half a second beside the second that may be saved keeps all nodes together within 1.4 times the limit in 4 s.

--- a/internal/notice/notice.go
+++ b/internal/notice/notice.go
@@ -70,8 +70,10 @@
 	return max(r.pace.Wait(now), r.pausedUntil.Sub(now), 0)
 }
 
-// Paused reports whether the target wants no requests of this node now, whatever was reserved.
-func (r *Record) Paused(now time.Time) bool { return now.Before(r.pausedUntil) }
+// Redeem reports whether a request that fell due at a moment may be sent now to a target that does not leave.
+func (r *Record) Redeem(due, now time.Time) bool {
+	return !now.Before(r.pausedUntil) && r.pace.Redeem(due, now)
+}
 
 // Reserve reserves the next request and returns the time until it may be sent. It returns false, and reserves nothing, when that
 // is longer than maxWait.
@@ -83,5 +85,5 @@
 	return max(wait, r.pausedUntil.Sub(now)), ok
 }
 
-// Return gives back a reservation that was not used.
-func (r *Record) Return() { r.pace.Return() }
+// Return gives back a request that fell due at a moment and was not sent.
+func (r *Record) Return(due, now time.Time) { r.pace.Return(due, now) }
--- a/internal/notice/pace.go
+++ b/internal/notice/pace.go
@@ -9,6 +9,8 @@
 	// saveTime is the time for which a node may save up a request that was due. All nodes together can so send saveTime times the
 	// limit at once after a quiet time, however many they are, and a node with few requests still finds one when it needs it.
 	saveTime = time.Second
+	// maxReservationAge is how long after it fell due a reserved request may still be sent. It may have waited for a connection.
+	maxReservationAge = saveTime / 2
 )
 
 // Pace spaces the requests of one node to one incarnation of a target, so that all nodes together keep the limit that the target
@@ -77,9 +79,19 @@
 	return wait, true
 }
 
-// Return gives back a reservation that was not used.
-func (p *Pace) Return() {
-	if p.notice.Limited {
+// Redeem reports whether a request that fell due at a moment may be sent now. One that has lapsed meanwhile takes the place of the
+// next one if that is due already: otherwise requests that wait while the target stands still would reach it all at once.
+func (p *Pace) Redeem(due, now time.Time) bool {
+	if now.Sub(due) <= maxReservationAge {
+		return true
+	}
+	_, ok := p.Reserve(now, 0)
+	return ok
+}
+
+// Return gives back a request that fell due at a moment and was not sent. One that has lapsed is lost.
+func (p *Pace) Return(due, now time.Time) {
+	if p.notice.Limited && now.Sub(due) <= maxReservationAge {
 		p.due = p.due.Add(-p.interval())
 	}
 }
--- a/internal/query/attempt.go
+++ b/internal/query/attempt.go
@@ -46,7 +46,10 @@
 
 func (r attemptResult) succeeded() bool { return r.failure == "" }
 
-var errTargetUnavailable = eris.New("target is draining or no longer registered")
+var (
+	errTargetUnavailable = eris.New("target is draining or no longer registered")
+	errUnwanted          = eris.New("target wants no request now, by what it said")
+)
 
 // maxPartBytes bounds the part of one shard. Of a part, only the records that can be in the answer are kept.
 const maxPartBytes = 1 << 20
@@ -72,7 +75,7 @@
 	if client := e.client(choice.Target.ID); client == nil {
 		res.failure, res.notRun, res.err = failureLeaving, true, errTargetUnavailable
 	} else {
-		c.call(ctx, client, &res, lifecycle, kind, newConnection)
+		c.call(ctx, client, started, &res, lifecycle, kind, newConnection)
 	}
 	res.elapsed = time.Since(started)
 	e.fire(lifecycle, res.endEvent())
@@ -82,8 +85,8 @@
 	return res
 }
 
-// call writes the request to the target and fills in the result.
-func (c *serviceCall) call(ctx context.Context, client *targetClient, res *attemptResult, lifecycle *attemptLifecycle, kind attempts.Kind, newConnection bool) {
+// call writes the request, which fell due at a moment, to the target and fills in the result.
+func (c *serviceCall) call(ctx context.Context, client *targetClient, due time.Time, res *attemptResult, lifecycle *attemptLifecycle, kind attempts.Kind, newConnection bool) {
 	e := c.engine
 	call := &httpcall.Call{
 		Body: c.req.Body, NoResponseBody: c.req.Method == http.MethodHead, Priority: c.route.Priority,
@@ -104,6 +107,9 @@
 		if !e.acceptsRequests(client) {
 			return errTargetUnavailable
 		}
+		if !client.redeem(due, time.Now()) {
+			return errUnwanted
+		}
 		call.RequestHead = e.deps.Codec.EncodeHead(c.req, id, time.Until(c.deadline))
 		e.fire(lifecycle, statechart.AttemptSend)
 		if client.report.restricted.Load() {
@@ -114,7 +120,7 @@
 	if err != nil {
 		res.setError(err)
 		if !res.written {
-			client.returnReservation()
+			client.returnReservation(due)
 		}
 		if res.failure == failureLost && res.written {
 			e.checkCrash(client, crashSuspect{fp: c.fp, requestID: c.req.ID})
@@ -142,6 +148,8 @@
 	switch {
 	case errors.Is(err, errTargetUnavailable):
 		r.failure = failureLeaving
+	case errors.Is(err, errUnwanted):
+		r.failure = failureUnwanted
 	case callErr.Kind == httpcall.KindUnreachable:
 		r.failure = failureUnreachable
 	case callErr.Kind == httpcall.KindBusy:
--- a/internal/query/notices.go
+++ b/internal/query/notices.go
@@ -150,8 +150,10 @@
 	return wait, ok
 }
 
-// returnReservation gives back a reservation whose request was not written.
-func (t *targetClient) returnReservation() { t.report.use((*notice.Record).Return) }
+// returnReservation gives back a request that fell due at a moment and was not written.
+func (t *targetClient) returnReservation(due time.Time) {
+	t.report.use(func(r *notice.Record) { r.Return(due, time.Now()) })
+}
 
 // wantsRequests returns the time until the target wants a request of this node, and false if it leaves.
 func (t *targetClient) wantsRequests(now time.Time) (wait time.Duration, ok bool) {
@@ -160,10 +162,11 @@
 	return wait, ok
 }
 
-// isPaused reports whether the target wants no requests of this node now, also those that were reserved.
-func (t *targetClient) isPaused(now time.Time) (paused bool) {
-	t.report.use(func(r *notice.Record) { paused = r.Paused(now) })
-	return paused
+// redeem reports whether a request that fell due at a moment may be written now.
+func (t *targetClient) redeem(due, now time.Time) (ok bool) {
+	ok = true
+	t.report.use(func(r *notice.Record) { ok = r.Redeem(due, now) })
+	return ok
 }
 
 // countRestricted adds or removes a restricted target.
@@ -245,17 +248,18 @@
 
 // attemptAfter waits for a reservation and then makes an attempt on the target.
 func (c *serviceCall) attemptAfter(ctx context.Context, wait time.Duration, target *targetClient, kind attempts.Kind) attemptResult {
+	due := time.Now().Add(wait)
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
 	case <-ctx.Done():
-		target.returnReservation()
+		target.returnReservation(due)
 		return attemptResult{target: target.id, failure: failureCancelled, notRun: true, err: context.Cause(ctx)}
 	}
 	choice, ok := c.service.picker.PickOnly(target.id, time.Now())
 	if !ok {
-		target.returnReservation()
+		target.returnReservation(due)
 		return attemptResult{target: target.id, failure: failureLeaving, notRun: true, err: errTargetUnavailable}
 	}
 	return c.attempt(ctx, choice, kind, false)
--- a/internal/query/service.go
+++ b/internal/query/service.go
@@ -202,11 +202,8 @@
 	return t
 }
 
-// acceptsRequests reports whether the client is still the current one of its target, and the target is not draining and has not
-// asked for a pause meanwhile.
-func (e *Engine) acceptsRequests(t *targetClient) bool {
-	return e.client(t.id) == t && !t.isPaused(time.Now())
-}
+// acceptsRequests reports whether the client is still the current one of its target, and the target is not draining.
+func (e *Engine) acceptsRequests(t *targetClient) bool { return e.client(t.id) == t }
 
 func (e *Engine) service(name string) *service {
 	e.mu.RLock()
