Contain panics of the product's own interface

Only requests on the HTTP interface were contained, and there a half-changed state lived on.

Change: the relay contains panics of an attempt (the target counts as failing, another one is tried), of a part (missing as internal_error, at once) and of a whole search (answered with the parts that are there); the node's peer messages, loops, heartbeats and reads of the configuration go through the handler that `serve` has. Admission, quarantine, tickets, topology, the accepted configuration and the relay's tables are guarded by panics.Mutex: a panic while one is locked stops the process in order with exit status 1. Locks whose section could panic are released by defer now (admission, leaving marks, owned targets). A call that ends in a panic leaves neither a slot nor a count behind.

Evidence: with no handler, as before, TestPanicCostsOneAttempt ends the test process. TestPartThatOnlyPanicsIsMissingAtOnce and TestPanicOfACommandFreesItsTarget are new; the last was not run on the code before, whose process would have ended.

Ruled out: counting the failed attempt as neutral for the target. Then a target whose answers cause the panic is chosen again and again until the retry budget is empty, and the part is lost although others have it (seen in the test).

--- a/cmd/medlarshunt/node.go
+++ b/cmd/medlarshunt/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"net"
 	"net/url"
 	"os"
@@ -18,6 +19,7 @@
 	"github.com/medlarshunt/medlarshunt/internal/configservice"
 	"github.com/medlarshunt/medlarshunt/internal/membership"
 	"github.com/medlarshunt/medlarshunt/internal/node"
+	"github.com/medlarshunt/medlarshunt/internal/panics"
 	"github.com/medlarshunt/medlarshunt/internal/peer"
 	"github.com/medlarshunt/medlarshunt/internal/settings"
 	"github.com/medlarshunt/medlarshunt/internal/telemetry"
@@ -47,10 +49,13 @@
 	if err != nil {
 		return err
 	}
+	ctx, stopBroken := context.WithCancelCause(ctx)
+	defer stopBroken(nil)
 	deps, reload, err := nodeDeps(ctx, s, log)
 	if err != nil {
 		return err
 	}
+	deps.Panics = panics.New(log.WithField("node", s.NodeID), deps.Metrics, func() { stopBroken(errBrokenState) })
 	n, err := node.New(nodeConfig(s, deps.PeerListener.Addr()), deps)
 	if err != nil {
 		return err
@@ -73,6 +78,9 @@
 		return err
 	}
 	log.WithField("node", s.NodeID).Info("node stopped")
+	if cause := context.Cause(ctx); errors.Is(cause, errBrokenState) {
+		return cause
+	}
 	return nil
 }
 
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -5,8 +5,9 @@
 import (
 	"container/heap"
 	"slices"
-	"sync"
 	"time"
+
+	"github.com/medlarshunt/medlarshunt/internal/panics"
 )
 
 // Request is a search that asks for admission.
@@ -74,7 +75,7 @@
 
 // Queue admits the searches of one group in its home relay. It is safe for concurrent use.
 type Queue struct {
-	mu             sync.Mutex // guards all fields below
+	mu             panics.Mutex // guards all fields below
 	limit          limiter
 	maxQueue       int
 	serviceTime    serviceTimeEstimator
--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -83,6 +83,7 @@
 	MissingQuarantined      MissingReason = "quarantined"
 	MissingNotPlanned       MissingReason = "not_planned"
 	MissingTargetError      MissingReason = "target_error"
+	MissingInternal         MissingReason = "internal_error" // the node failed while it worked on the part
 )
 
 // Part is the result of one service for one search, as a relay received and validated it. Reason is empty when the part
--- a/internal/configsync/peers.go
+++ b/internal/configsync/peers.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/medlarshunt/medlarshunt/internal/membership"
 	"github.com/medlarshunt/medlarshunt/internal/ownership"
 )
@@ -51,7 +53,10 @@
 		}
 	}
 	if s.claimFallbackRead() {
-		s.work.Go(func() { s.readPlatform(ctx, true) })
+		s.work.Go(func() {
+			defer s.deps.Panics.Contain("configuration", nil)
+			s.readPlatform(ctx, true)
+		})
 	}
 }
 
@@ -109,6 +114,7 @@
 	)
 	for _, node := range nodes[:min(len(nodes), initialFetchPeers)] {
 		fetches.Go(func() {
+			defer s.deps.Panics.Contain("configuration of a peer", logrus.Fields{"peer": node})
 			ok := s.fetch(ctx, node)
 			mu.Lock()
 			defer mu.Unlock()
--- a/internal/configsync/reader.go
+++ b/internal/configsync/reader.go
@@ -32,6 +32,10 @@
 // watch watches one key of the platform until ctx ends and passes each new value to handle. If handle fails, the value
 // is read again after a backoff.
 func (s *Syncer) watch(ctx context.Context, key string, handle func(context.Context, configservice.Value) error) {
+	s.deps.Panics.Loop(ctx, "watch of the configuration", func(ctx context.Context) { s.watchUntilDone(ctx, key, handle) })
+}
+
+func (s *Syncer) watchUntilDone(ctx context.Context, key string, handle func(context.Context, configservice.Value) error) {
 	var afterRevision uint64
 	backoff := minBackoff
 	for ctx.Err() == nil {
--- a/internal/configsync/store.go
+++ b/internal/configsync/store.go
@@ -1,7 +1,6 @@
 package configsync
 
 import (
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -9,6 +8,7 @@
 
 	"github.com/medlarshunt/medlarshunt/internal/config"
 	"github.com/medlarshunt/medlarshunt/internal/membership"
+	"github.com/medlarshunt/medlarshunt/internal/panics"
 	"github.com/medlarshunt/medlarshunt/internal/statechart"
 )
 
@@ -53,7 +53,7 @@
 	checker Checker
 	current atomic.Pointer[Current] // replaced under mu, read without it
 
-	mu                sync.Mutex
+	mu                panics.Mutex
 	setAcceptor       acceptor
 	catalogueAcceptor acceptor
 	manifest          config.Manifest
--- a/internal/configsync/syncer.go
+++ b/internal/configsync/syncer.go
@@ -12,6 +12,7 @@
 	"github.com/medlarshunt/medlarshunt/internal/config"
 	"github.com/medlarshunt/medlarshunt/internal/configservice"
 	"github.com/medlarshunt/medlarshunt/internal/membership"
+	"github.com/medlarshunt/medlarshunt/internal/panics"
 	"github.com/medlarshunt/medlarshunt/internal/statechart"
 )
 
@@ -57,6 +58,7 @@
 	Metrics    *metrics.Set
 	Log        logrus.FieldLogger
 	OnChange   func(Current)
+	Panics     *panics.Handler // nil contains no panics
 }
 
 // Syncer keeps the configuration and the catalogue up to date. mu guards the fields below it. changeMu serializes calls
@@ -73,7 +75,7 @@
 	readingSet chan struct{}  // holds one token while a document set is read
 	work       sync.WaitGroup // goroutines of Run
 
-	mu             sync.Mutex
+	mu             panics.Mutex
 	rng            *rand.Rand
 	nextFallback   time.Time // earliest time of the next read of a version that no peer provides
 	sourcesQueried bool      // platform or peers were queried since the start or the last Refresh
@@ -98,7 +100,7 @@
 // Run keeps the configuration up to date until ctx ends. It returns after all its goroutines have ended.
 func (s *Syncer) Run(ctx context.Context) {
 	defer s.work.Wait()
-	s.work.Go(func() { s.initialSync(ctx) })
+	s.work.Go(func() { s.deps.Panics.Loop(ctx, "initial configuration", s.initialSync) })
 	role := readerRole{notBefore: time.Now().Add(s.cfg.ReaderDelay)}
 	stopWatch := func() {}
 	defer func() { stopWatch() }()
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/medlarshunt/medlarshunt/internal/api"
+	"github.com/medlarshunt/medlarshunt/internal/panics"
 	"github.com/medlarshunt/medlarshunt/internal/peer"
 	"github.com/medlarshunt/medlarshunt/internal/telemetry"
 	"github.com/medlarshunt/medlarshunt/internal/ticket"
@@ -64,6 +65,7 @@
 	Log            *logrus.Entry
 	Tracing        *telemetry.Tracing
 	Metrics        *metrics.Set
+	Panics         *panics.Handler // nil contains no panics
 }
 
 // Entry serves the caller API. It is safe for concurrent use.
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -50,7 +50,7 @@
 }
 
 func (e *Entry) handlePanic(c *gin.Context, cause any) {
-	e.deps.Log.WithField("panic", cause).Error("handler panicked")
+	e.deps.Panics.Record("request of a caller", cause, logrus.Fields{"path": c.Request.URL.Path})
 	e.writeError(c, &api.Error{Code: api.CodeInternal, Message: "internal error", Outcome: api.OutcomeUnknown})
 }
 
--- a/internal/hedge/estimator.go
+++ b/internal/hedge/estimator.go
@@ -4,8 +4,9 @@
 
 import (
 	"math"
-	"sync"
 	"time"
+
+	"github.com/medlarshunt/medlarshunt/internal/panics"
 )
 
 const (
@@ -30,7 +31,7 @@
 // than d, so cancelled stragglers neither lower the estimate nor drop out of it. Memory is constant (2.7 KB). It is safe for
 // concurrent use.
 type Estimator struct {
-	mu        sync.Mutex // guards all fields below
+	mu        panics.Mutex // guards all fields below
 	completed [bucketCount]float32
 	censored  [bucketCount]float32
 	weight    float32 // of the next observation
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -93,7 +93,7 @@
 	}
 	loop, err := membership.NewLoop(mc, self, membership.Deps{
 		Transport: transport{c.peers}, Clock: membership.SystemClock(), Rand: mathrand.New(mathrand.NewPCG(c.seed(), 1)),
-		Metrics: c.deps.Metrics, Log: c.log, Hooks: membership.Hooks{Paused: c.handlePause, Superseded: c.handleSuperseded},
+		Metrics: c.deps.Metrics, Log: c.log, Panics: c.deps.Panics, Hooks: membership.Hooks{Paused: c.handlePause, Superseded: c.handleSuperseded},
 	})
 	c.members = loop
 	return eris.Wrap(err, "set up membership")
@@ -102,7 +102,7 @@
 func (c *core) newRelay(dir *directory, charts *statechart.Charts) *relay.Relay {
 	return relay.New(relay.Config{Domain: c.cfg.Domain, Ordinal: c.cfg.Ordinal, Seed: c.cfg.RandomSeed, Baseline: c.cfg.Baseline}, relay.Deps{
 		Topology: c.topology, Remotes: dir, Guard: c.guard, Dial: c.deps.DialTarget, Charts: charts, Log: c.log, Tracing: c.deps.Tracing,
-		Metrics: c.deps.Metrics, OnTargetLeaving: c.markLeaving, OnQuarantine: c.quarantineChanged,
+		Metrics: c.deps.Metrics, Panics: c.deps.Panics, OnTargetLeaving: c.markLeaving, OnQuarantine: c.quarantineChanged,
 	})
 }
 
@@ -114,7 +114,7 @@
 	}
 	deps := entry.Deps{
 		Topology: c.topology, Directory: dir, Peers: c.peers, Issuer: issuer, Tickets: ticket.NewTable(clock, ticket.DefaultLimits),
-		Ready: c.lifecycle.Ready, AnswersTickets: c.lifecycle.AnswersTickets, Log: c.log, Tracing: c.deps.Tracing, Metrics: c.deps.Metrics,
+		Ready: c.lifecycle.Ready, AnswersTickets: c.lifecycle.AnswersTickets, Log: c.log, Tracing: c.deps.Tracing, Metrics: c.deps.Metrics, Panics: c.deps.Panics,
 	}
 	if c.relay != nil {
 		deps.Local = c.relay
@@ -127,12 +127,15 @@
 func (c *core) start(context.Context) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	c.loopCtx, c.stopLoops = ctx, cancel
-	c.loops.Go(func() { c.members.Run(ctx) })
-	c.loops.Go(func() { c.syncer.Run(ctx) })
-	c.loops.Go(func() { c.instances.run(ctx) })
-	c.loops.Go(func() { c.watchReadiness(ctx) })
-	c.loops.Go(func() { c.lifecycle.pause.run(ctx, c.handlePause) })
-	c.loops.Go(func() { c.runPeerUpdates(ctx) })
+	loop := func(place string, run func(context.Context)) {
+		c.loops.Go(func() { c.deps.Panics.Loop(ctx, place, run) })
+	}
+	loop("membership", c.members.Run)
+	loop("configuration", c.syncer.Run)
+	loop("list of instances", c.instances.run)
+	loop("readiness", c.watchReadiness)
+	loop("pause detection", func(ctx context.Context) { c.lifecycle.pause.run(ctx, c.handlePause) })
+	loop("updates of peers", c.runPeerUpdates)
 	c.lifecycle.fire(statechart.NodeStarted)
 	return nil
 }
@@ -154,7 +157,7 @@
 	c.syncer, err = configsync.New(configsync.DefaultConfig(), configsync.Deps{
 		Source: c.deps.ConfigService, IsNoChange: func(err error) bool { return errors.Is(err, configservice.ErrNoChange) },
 		Peers: configPeers{peers: c.peers, directory: dir}, Members: c.members, Checker: &configChecker{}, Charts: charts,
-		Rand: mathrand.New(mathrand.NewPCG(c.seed(), 2)), Metrics: c.deps.Metrics, Log: c.log, OnChange: c.applyConfig,
+		Rand: mathrand.New(mathrand.NewPCG(c.seed(), 2)), Metrics: c.deps.Metrics, Log: c.log, Panics: c.deps.Panics, OnChange: c.applyConfig,
 	})
 	return eris.Wrap(err, "set up configuration")
 }
@@ -212,6 +215,7 @@
 	c.lifecycle.fire(statechart.NodePauseDetected)
 	c.members.HeartbeatNow()
 	c.loops.Go(func() {
+		defer c.deps.Panics.Contain("refresh after a pause", nil)
 		ctx, cancel := context.WithTimeout(c.loopCtx, refreshTimeout)
 		defer cancel()
 		c.syncer.Refresh(ctx)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -15,6 +15,7 @@
 
 	"github.com/medlarshunt/medlarshunt/internal/configservice"
 	"github.com/medlarshunt/medlarshunt/internal/membership"
+	"github.com/medlarshunt/medlarshunt/internal/panics"
 	"github.com/medlarshunt/medlarshunt/internal/peer"
 	"github.com/medlarshunt/medlarshunt/internal/relay"
 	"github.com/medlarshunt/medlarshunt/internal/target"
@@ -47,6 +48,7 @@
 	Log            *logrus.Logger
 	Tracing        *telemetry.Tracing
 	Metrics        *metrics.Set
+	Panics         *panics.Handler // nil contains no panics
 }
 
 // defaultGrace is the longest wait for requests in flight during shutdown when the settings name none.
--- a/internal/panics/panics.go
+++ b/internal/panics/panics.go
@@ -49,13 +49,19 @@
 	if value == nil {
 		return
 	}
+	h.Record(place, value, fields)
+	for _, f := range after {
+		f()
+	}
+}
+
+// Record logs and counts a panic that other code has recovered, and stops the process if shared state may be broken. A nil handler
+// panics again.
+func (h *Handler) Record(place string, value any, fields logrus.Fields) {
 	if h == nil {
 		panic(value)
 	}
 	h.record(place, value, fields)
-	for _, f := range after {
-		f()
-	}
 }
 
 func (h *Handler) record(place string, value any, fields logrus.Fields) {
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -77,6 +77,7 @@
 	FailureNoTime      Failure = "no_time"     // the call could not complete in time and was not sent
 	FailureRelayLost   Failure = "relay_lost"  // the relay in the other failure domain did not answer
 	FailureNotServed   Failure = "not_served"  // the relay does not serve the target
+	FailurePanic       Failure = "panic"       // the relay failed while it worked on the attempt, which may have run
 )
 
 // AttemptResult is the result of one attempt. Failure is empty when the target answered.
--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -1,10 +1,10 @@
 package quarantine
 
 import (
-	"sync"
 	"time"
 
 	"github.com/medlarshunt/medlarshunt/internal/config"
+	"github.com/medlarshunt/medlarshunt/internal/panics"
 )
 
 // Durations of the quarantine.
@@ -93,7 +93,7 @@
 type Guard struct {
 	maxRecords int
 
-	mu                    sync.Mutex // guards all fields below and the content of the values they hold
+	mu                    panics.Mutex // guards all fields below and the content of the values they hold
 	targets               map[string]*targetState
 	leases                map[Fingerprint]*Lease
 	records               map[recordKey]*record
--- a/internal/relay/admitter.go
+++ b/internal/relay/admitter.go
@@ -2,17 +2,17 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/medlarshunt/medlarshunt/internal/admission"
 	"github.com/medlarshunt/medlarshunt/internal/api"
+	"github.com/medlarshunt/medlarshunt/internal/panics"
 )
 
 // admitter blocks searches until the queue admits or drops them. A queue decision and the registration of the waiting
 // search are one step under mu, so that no wake-up is lost.
 type admitter struct {
-	mu      sync.Mutex
+	mu      panics.Mutex
 	queue   *admission.Queue
 	waiting map[admission.Handle]chan bool
 }
@@ -23,29 +23,19 @@
 
 // admit waits until the search may run. A refusal proves that nothing was run.
 func (a *admitter) admit(ctx context.Context, r admission.Request) (admission.Handle, *api.Error) {
-	now := time.Now()
-	a.mu.Lock()
-	d := a.queue.Offer(r, now)
-	a.wakeAll(admission.Transitions{Drop: d.Drop})
-	if d.Result != admission.Queued {
-		a.mu.Unlock()
-		if d.Result == admission.Refused {
-			return 0, newRefusal(d.Reason, d.RetryAfter)
-		}
+	d, admitted := a.offer(r, time.Now())
+	switch d.Result {
+	case admission.Queued:
+	case admission.Refused:
+		return 0, newRefusal(d.Reason, d.RetryAfter)
+	default:
 		return d.Handle, nil
 	}
-	admitted := make(chan bool, 1)
-	a.waiting[d.Handle] = admitted
-	a.mu.Unlock()
 	select {
 	case ok := <-admitted:
 		return a.waitResult(d.Handle, ok)
 	case <-ctx.Done():
-		a.mu.Lock()
-		delete(a.waiting, d.Handle)
-		cancelled := a.queue.Cancel(d.Handle)
-		a.mu.Unlock()
-		if !cancelled && <-admitted {
+		if !a.cancel(d.Handle) && <-admitted {
 			// Admitted while the context ended: release it, so that the next search can start.
 			a.release(d.Handle, false)
 		}
@@ -53,6 +43,28 @@
 	}
 }
 
+// offer passes a search to the queue. A queued search is told over the channel whether it was admitted.
+func (a *admitter) offer(r admission.Request, now time.Time) (admission.Decision, <-chan bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	d := a.queue.Offer(r, now)
+	a.wakeAll(admission.Transitions{Drop: d.Drop})
+	if d.Result != admission.Queued {
+		return d, nil
+	}
+	admitted := make(chan bool, 1)
+	a.waiting[d.Handle] = admitted
+	return d, admitted
+}
+
+// cancel takes a search out of the queue, and returns false if it was admitted or dropped before.
+func (a *admitter) cancel(h admission.Handle) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	delete(a.waiting, h)
+	return a.queue.Cancel(h)
+}
+
 func (a *admitter) waitResult(h admission.Handle, ok bool) (admission.Handle, *api.Error) {
 	if !ok {
 		return 0, newRefusal(admission.ReasonNoTime, a.queue.Status().ServiceTime)
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -70,11 +70,19 @@
 
 // attempt runs one attempt on the chosen target and passes its result to the estimator, the picker and the
 // snapshot chooser.
-func (r *Relay) attempt(ctx context.Context, p *part, choice balance.Choice, n int, mode attemptMode) attemptResult {
+func (r *Relay) attempt(ctx context.Context, p *part, choice balance.Choice, n int, mode attemptMode) (out attemptResult) {
 	ctx, span := r.deps.Tracing.Start(ctx, "relay.attempt", attribute.String("service", p.assigned.Service),
 		attribute.String("target", choice.Target.ID), attribute.Int("attempt", n))
 	defer span.End()
 	started := time.Now()
+	observed := false
+	defer r.deps.Panics.Contain("attempt", p.logFields(), func() {
+		out = attemptResult{failure: peer.FailurePanic}
+		r.metrics.countFailure(string(out.failure))
+		if !observed { // the picker counts the call as in flight until then; the answer of this target may be at fault
+			p.service.picker.Done(choice, balance.Observation{Result: balance.Failure}, time.Now())
+		}
+	})
 	req := peer.AttemptRequest{
 		Search: p.leg.req.Search, Snapshot: p.leg.req.Snapshot, Service: p.assigned.Service, Target: choice.Target.ID,
 		Ranges: p.assigned.Ranges, AttemptID: fmt.Sprintf("%s/%d", p.assigned.Service, n), Isolated: mode.lease != nil, LastResort: mode.lastResort,
@@ -87,8 +95,9 @@
 		res, sent = r.callRemote(ctx, choice.Target.Domain, req, p.leg.fp, mode)
 		p.recordHop(choice.Target.ID, sent, res)
 	}
+	observed = true
 	r.recordResult(ctx, p, choice, res, started, sent)
-	out := attemptResult{failure: res.Failure, load: res.Load}
+	out = attemptResult{failure: res.Failure, load: res.Load}
 	if res.Failure != "" {
 		r.metrics.countFailure(string(res.Failure))
 		return out
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -22,6 +22,7 @@
 	machine   *attemptMachine
 	guardCall *quarantine.Call
 	release   func()
+	ended     bool
 }
 
 // openCall waits for a slot of the target and checks, immediately before the write, what may have changed in the
@@ -55,8 +56,13 @@
 	return &res
 }
 
-// close releases the slot.
-func (c *targetCall) close() { c.release() }
+// close releases the slot. A call that has not ended, because of a panic, may still run.
+func (c *targetCall) close() {
+	defer c.release()
+	if !c.ended {
+		c.end(quarantine.Unanswered, statechart.AttemptCancel)
+	}
+}
 
 func (c *targetCall) answered() { c.end(quarantine.Answered, statechart.AttemptAnswer) }
 
@@ -64,6 +70,7 @@
 func (c *targetCall) notSent() { c.end(quarantine.NotSent, statechart.AttemptRefuse) }
 
 func (c *targetCall) end(result quarantine.Result, event statechart.AttemptEvent) {
+	c.ended = true
 	c.relay.fireAttempt(c.machine, event)
 	c.relay.reportQuarantineChanges(c.relay.deps.Guard.End(c.guardCall, result, time.Now()))
 }
--- a/internal/relay/command.go
+++ b/internal/relay/command.go
@@ -109,14 +109,13 @@
 }
 
 func (c *commandRun) attempt(ctx context.Context, choice balance.Choice, isolate bool) api.CommandResult {
-	started := time.Now()
+	started, observed := time.Now(), balance.Observation{Result: balance.Neutral}
+	defer func() { c.service.picker.Done(choice, observed, time.Now()) }()
 	if choice.Target.Domain != c.relay.cfg.Domain {
-		res := c.attemptRemote(ctx, choice.Target.Domain)
-		c.service.picker.Done(choice, balance.Observation{Result: balance.Neutral}, time.Now())
-		return res
+		return c.attemptRemote(ctx, choice.Target.Domain)
 	}
 	res, failure := c.attemptLocal(ctx, choice.Target.ID, isolate)
-	c.service.picker.Done(choice, balance.Observation{Result: resultFor(failure), Latency: time.Since(started)}, time.Now())
+	observed = balance.Observation{Result: resultFor(failure), Latency: time.Since(started)}
 	return res
 }
 
--- a/internal/relay/fake_test.go
+++ b/internal/relay/fake_test.go
@@ -35,6 +35,7 @@
 	failure      *target.Error // result of each call after latency
 	indexVersion uint64        // index version of the replies; 0 for the one asked for
 	crashes      bool          // the next call crashes the target
+	panics       bool          // calls panic in this process
 	fakeCounts
 }
 
@@ -73,12 +74,21 @@
 	f.inFlight--
 }
 
+func (f *fakeTarget) isPanicking() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.panics
+}
+
 func (f *fakeTarget) run(ctx context.Context, count *int) error {
 	latency, failure := f.begin(count)
 	if failure != nil && failure.Kind == target.FailureNotSent {
 		return failure
 	}
 	defer f.end()
+	if f.isPanicking() {
+		panic("fake target")
+	}
 	timer := time.NewTimer(latency)
 	defer timer.Stop()
 	select {
@@ -205,7 +215,7 @@
 	fakeJitter   = 100 * time.Microsecond
 )
 
-func newHarness(t *testing.T, services int, change func(*config.Group)) *harness {
+func newHarness(t *testing.T, services int, change func(*config.Group), options ...func(*relay.Deps)) *harness {
 	h := &harness{g: NewWithT(t), targets: map[string]*fakeTarget{}, guard: quarantine.NewGuard(0), holder: topology.NewHolder()}
 	d, c := fleet.SmallDeployment(services)
 	if change != nil {
@@ -226,10 +236,14 @@
 	h.g.Expect(err).NotTo(HaveOccurred())
 	tracing, err := telemetry.NewTracing(t.Context(), telemetry.TraceOff, "", "", nil)
 	h.g.Expect(err).NotTo(HaveOccurred())
-	h.relay = relay.New(relay.Config{Domain: "north", Seed: 1}, relay.Deps{
+	deps := relay.Deps{
 		Charts: charts, Topology: h.holder, Remotes: fakeRemotes{h, fakeHopDelay}, Guard: h.guard, Log: logrus.NewEntry(log), Tracing: tracing, Metrics: metrics.NewSet(),
 		Dial: func(c target.Config) (target.Caller, error) { return h.targets[c.ID], nil },
-	})
+	}
+	for _, option := range options {
+		option(&deps)
+	}
+	h.relay = relay.New(relay.Config{Domain: "north", Seed: 1}, deps)
 	return h
 }
 
--- a/internal/relay/leg.go
+++ b/internal/relay/leg.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"go.opentelemetry.io/otel/attribute"
 
 	"github.com/medlarshunt/medlarshunt/internal/admission"
@@ -58,11 +60,18 @@
 		r.metrics.refused.Inc()
 		return refusedLeg(refusal)
 	}
-	result, complete := l.run(ctx)
-	g.admission.release(handle, complete)
+	complete := false
+	defer func() { g.admission.release(handle, complete) }()
+	var result peer.LegResult
+	result, complete = l.run(ctx)
 	return result
 }
 
+// logFields identify the search in log lines.
+func (l *leg) logFields() logrus.Fields {
+	return logrus.Fields{"request_id": l.req.Search.RequestID, "group": l.req.Search.Group}
+}
+
 func refusedLeg(e *api.Error) peer.LegResult { return peer.LegResult{Refusal: e} }
 
 // admit waits for the admission of the whole search, because a search that will miss one service wastes the slots of
@@ -107,7 +116,10 @@
 		l.parts[i] = newPart(l, coverage.Assigned{Service: a.Service, Ranges: a.Ranges})
 	}
 	done := make(chan *part, len(l.parts))
-	go l.startParts(ctx, done)
+	go func() {
+		defer l.relay.deps.Panics.Contain("search", l.logFields(), cancel) // answers with the parts that are there
+		l.startParts(ctx, done)
+	}()
 	l.awaitParts(ctx, done)
 	cancel()
 	return l.result()
@@ -157,8 +169,8 @@
 	p.isCanary = true
 	answered := make(chan struct{})
 	go func() {
+		defer close(answered)
 		p.run(ctx, done)
-		close(answered)
 	}()
 	if !l.awaitCanary(ctx, p, answered) && l.relay.deps.Guard.Decide(l.fp, time.Now()).Action != quarantine.Allow {
 		select { // the canary crashed its target: the others wait for the decision
--- a/internal/relay/localtarget.go
+++ b/internal/relay/localtarget.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
 
 	"github.com/medlarshunt/medlarshunt/internal/quarantine"
 	"github.com/medlarshunt/medlarshunt/internal/target"
@@ -92,6 +93,11 @@
 
 func (r *Relay) runCrashCheck(t *localTarget, check *crashCheck) {
 	defer close(check.done)
+	defer r.deps.Panics.Contain("check of a lost target", logrus.Fields{"target": t.id}, func() {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		t.crashCheck = nil
+	})
 	died := r.reportEvidence(t, quarantine.Evidence{Kind: quarantine.ConnectionLost, Group: t.group})
 	ctx, cancel := context.WithTimeout(r.ctx, crashCheckTimeout)
 	defer cancel()
--- a/internal/relay/maintain.go
+++ b/internal/relay/maintain.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/medlarshunt/medlarshunt/internal/quarantine"
 	"github.com/medlarshunt/medlarshunt/internal/target"
 )
@@ -19,22 +21,18 @@
 )
 
 // maintain drops expired searches from the queues, polls the health of targets, updates their state machines and sweeps
-// the quarantine, until the relay is closed.
-func (r *Relay) maintain() {
+// the quarantine, until ctx ends.
+func (r *Relay) maintain(ctx context.Context) {
 	expire := time.NewTicker(expireInterval)
 	defer expire.Stop()
 	health := time.NewTicker(healthInterval)
 	defer health.Stop()
 	for {
 		select {
-		case <-r.ctx.Done():
+		case <-ctx.Done():
 			return
 		case now := <-expire.C:
-			r.mu.RLock()
-			for _, g := range r.groups {
-				g.admission.expire(now)
-			}
-			r.mu.RUnlock()
+			r.expireSearches(now)
 		case <-health.C:
 			r.deps.Guard.Sweep(time.Now())
 			r.syncTargetStates(time.Now())
@@ -43,10 +41,26 @@
 	}
 }
 
+func (r *Relay) expireSearches(now time.Time) {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	for _, g := range r.groups {
+		g.admission.expire(now)
+	}
+}
+
 // pollHealth polls the targets of the groups that this node owns. Polling the others would open connections that are
 // not needed.
 func (r *Relay) pollHealth() {
+	for _, t := range r.ownedTargets() {
+		r.wg.Go(func() { r.pollTarget(t) })
+	}
+}
+
+// ownedTargets returns the targets of the groups that this node owns.
+func (r *Relay) ownedTargets() []*localTarget {
 	r.mu.RLock()
+	defer r.mu.RUnlock()
 	targets := make([]*localTarget, 0, len(r.targets))
 	owned := map[string]bool{}
 	for name := range r.groups {
@@ -57,10 +71,7 @@
 			targets = append(targets, t)
 		}
 	}
-	r.mu.RUnlock()
-	for _, t := range targets {
-		r.wg.Go(func() { r.pollTarget(t) })
-	}
+	return targets
 }
 
 func (r *Relay) pollTarget(t *localTarget) {
@@ -68,6 +79,7 @@
 		return
 	}
 	defer t.endPoll()
+	defer r.deps.Panics.Contain("health of a target", logrus.Fields{"target": t.id})
 	ctx, cancel := context.WithTimeout(r.ctx, healthTimeout)
 	defer cancel()
 	health, err := t.client.Health(ctx)
--- a/internal/relay/part.go
+++ b/internal/relay/part.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/medlarshunt/medlarshunt/internal/api"
 	"github.com/medlarshunt/medlarshunt/internal/attempts"
 	"github.com/medlarshunt/medlarshunt/internal/balance"
@@ -94,9 +96,17 @@
 	p.result = result
 }
 
+// logFields identify the part in log lines.
+func (p *part) logFields() logrus.Fields {
+	fields := p.leg.logFields()
+	fields["service"] = p.assigned.Service
+	return fields
+}
+
 // run makes attempts until one has answered, none can help any more, or ctx ends.
 func (p *part) run(ctx context.Context, done chan<- *part) {
 	defer func() { done <- p }()
+	defer p.leg.relay.deps.Panics.Contain("part", p.logFields(), func() { p.finish(api.Part{Reason: api.MissingInternal}) })
 	if p.service == nil {
 		p.finish(api.Part{Reason: api.MissingUnreachable})
 		return
@@ -349,6 +359,8 @@
 		return api.MissingQuarantined
 	case peer.Failure(target.FailureInternal), peer.Failure(target.FailureRefused):
 		return api.MissingTargetError
+	case peer.FailurePanic:
+		return api.MissingInternal
 	default:
 		return api.MissingUnreachable
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -14,6 +14,7 @@
 	"github.com/medlarshunt/medlarshunt/internal/api"
 	"github.com/medlarshunt/medlarshunt/internal/config"
 	"github.com/medlarshunt/medlarshunt/internal/ownership"
+	"github.com/medlarshunt/medlarshunt/internal/panics"
 	"github.com/medlarshunt/medlarshunt/internal/peer"
 	"github.com/medlarshunt/medlarshunt/internal/quarantine"
 	"github.com/medlarshunt/medlarshunt/internal/statechart"
@@ -59,6 +60,7 @@
 	OnTargetLeaving func(targetID, incarnation string)
 	// OnQuarantine is called with new quarantine states of fingerprints; it may be nil.
 	OnQuarantine func([]quarantine.Change)
+	Panics       *panics.Handler // nil contains no panics
 }
 
 // Relay owns the connections of one node to the targets of its failure domain.
@@ -67,7 +69,7 @@
 	deps    Deps
 	metrics *counters
 
-	mu      sync.RWMutex // guards the fields below
+	mu      panics.RWMutex // guards the fields below
 	groups  map[string]*group
 	targets map[string]*localTarget
 	leaving map[leavingMark]struct{}
@@ -96,7 +98,7 @@
 		cancel: cancel, ctx: ctx,
 	}
 	deps.Topology.OnChange(r.applyTopology)
-	r.wg.Go(r.maintain)
+	r.wg.Go(func() { deps.Panics.Loop(ctx, "relay maintenance", r.maintain) })
 	return r
 }
 
@@ -122,6 +124,7 @@
 	doc := v.Document()
 	now := time.Now()
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	old := r.targets
 	r.targets = make(map[string]*localTarget, len(old))
 	groups := make(map[string]*group, len(doc.Groups))
@@ -138,7 +141,6 @@
 		}
 		r.closeInBackground(t)
 	}
-	r.mu.Unlock()
 }
 
 // closeInBackground closes the client of a target that was removed or whose spec has changed. A new client of the same
@@ -221,11 +223,7 @@
 	if incarnation != "" && r.hasLeavingMark(mark) {
 		return
 	}
-	r.mu.Lock()
-	_, known := r.leaving[mark]
-	r.leaving[mark] = struct{}{}
-	services := r.servicesWithTarget(targetID)
-	r.mu.Unlock()
+	services, known := r.addLeavingMark(mark)
 	for _, s := range services {
 		s.picker.MarkLeaving(targetID, incarnation)
 	}
@@ -234,6 +232,15 @@
 	}
 }
 
+// addLeavingMark returns the services that have the target, and whether the mark was known before.
+func (r *Relay) addLeavingMark(m leavingMark) (services []*service, known bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_, known = r.leaving[m]
+	r.leaving[m] = struct{}{}
+	return r.servicesWithTarget(m.target), known
+}
+
 func (r *Relay) hasLeavingMark(m leavingMark) bool {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
--- a/internal/snapshot/chooser.go
+++ b/internal/snapshot/chooser.go
@@ -4,12 +4,12 @@
 
 import (
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/medlarshunt/medlarshunt/internal/api"
 	"github.com/medlarshunt/medlarshunt/internal/config"
 	"github.com/medlarshunt/medlarshunt/internal/coverage"
+	"github.com/medlarshunt/medlarshunt/internal/panics"
 )
 
 // ReportTTL is how long a target's report is used. Health polls refresh it every second for reachable targets. After
@@ -46,7 +46,7 @@
 // Chooser holds the published catalogue of one group and the versions that its targets report. It is safe for
 // concurrent use.
 type Chooser struct {
-	mu           sync.Mutex // guards all fields below
+	mu           panics.Mutex // guards all fields below
 	version      config.Version
 	catalogue    config.GroupCatalogue
 	maps         map[uint64]*coverage.Index
--- a/internal/ticket/table.go
+++ b/internal/ticket/table.go
@@ -2,12 +2,12 @@
 
 import (
 	"container/heap"
-	"sync"
 	"time"
 
 	"github.com/google/uuid"
 
 	"github.com/medlarshunt/medlarshunt/internal/api"
+	"github.com/medlarshunt/medlarshunt/internal/panics"
 )
 
 // Retention is how long a record is kept after its ticket has expired, so that a late retry still gets the recorded
@@ -69,7 +69,7 @@
 	clock  *Clock
 	limits Limits
 
-	mu               sync.Mutex // guards all fields below
+	mu               panics.Mutex // guards all fields below
 	entries          map[uuid.UUID]*Entry
 	finishedByExpiry expiryHeap    // finished entries, first expiry first
 	responseBytes    int64         // total size of the recorded responses
--- a/internal/topology/topology.go
+++ b/internal/topology/topology.go
@@ -3,12 +3,12 @@
 package topology
 
 import (
-	"sync"
 	"sync/atomic"
 
 	"github.com/rotisserie/eris"
 
 	"github.com/medlarshunt/medlarshunt/internal/config"
+	"github.com/medlarshunt/medlarshunt/internal/panics"
 	"github.com/medlarshunt/medlarshunt/internal/snapshot"
 )
 
@@ -29,7 +29,7 @@
 type Holder struct {
 	view atomic.Pointer[View]
 
-	mu        sync.Mutex // guards the fields below and serializes changes
+	mu        panics.Mutex // guards the fields below and serializes changes
 	catalogue *config.Catalogue
 	listeners []func(*View)
 }
