Say in the log why a request was not tried again

A run of attempts now returns what stopped it, and `lost` in the log line of the request names it. The cases of TestRun expect it; nothing else of a run changes.

--- a/internal/attempts/attempts.go
+++ b/internal/attempts/attempts.go
@@ -73,8 +73,16 @@
 	NoTarget  bool // no attempt was made
 	Cancelled bool // ctx ended first
 	NotRun    bool // each attempt is proved not to have run
+	// Stopped says why no attempt followed the last one that failed; it is empty after a final result.
+	Stopped hedge.Reason
 }
 
+// Reasons of this package for which no attempt follows, beside those of package hedge.
+const (
+	StoppedByRefusals     hedge.Reason = "refusals"     // targets have refused MaxRefusals times
+	StoppedByReplacements hedge.Reason = "replacements" // MaxReplacements attempts have replaced unsent ones
+)
+
 // Run makes attempts until a result is final, no attempt is in flight and none may follow, or ctx ends. It then cancels the
 // attempts in flight.
 func Run[R any](ctx context.Context, caller Launcher[R], budget *hedge.Budget, limits Limits) Outcome[R] {
@@ -107,6 +115,7 @@
 	refusals     int
 	rounds       int
 	notRun       bool // all attempts that ended are proved not to have run
+	stopped      hedge.Reason
 }
 
 func (r *runState[R]) run(ctx context.Context) Outcome[R] {
@@ -123,9 +132,12 @@
 			r.inFlight--
 			followUp := r.caller.Ended(ended.result)
 			r.notRun = r.notRun && followUp.NotRun
-			if followUp.Final || !r.startFollowUp(ctx, ended.kind, followUp) && r.inFlight == 0 {
+			if followUp.Final {
 				return Outcome[R]{Result: ended.result, NotRun: r.notRun}
 			}
+			if !r.startFollowUp(ctx, ended.kind, followUp) && r.inFlight == 0 {
+				return Outcome[R]{Result: ended.result, NotRun: r.notRun, Stopped: r.stopped}
+			}
 		}
 	}
 }
@@ -178,6 +190,7 @@
 	}
 	if followUp.Refused {
 		if r.refusals++; r.limits.MaxRefusals > 0 && r.refusals > r.limits.MaxRefusals {
+			r.stopped = StoppedByRefusals
 			return false
 		}
 	}
@@ -186,11 +199,13 @@
 	}
 	state := r.caller.State(Retry)
 	state.InFlight, state.Refused = r.inFlight, followUp.Refused
-	switch hedge.ShouldRetry(state, !followUp.NotRetriable, r.budget, time.Now()) {
+	r.stopped = hedge.ShouldRetry(state, !followUp.NotRetriable, r.budget, time.Now())
+	switch r.stopped {
 	case hedge.ReasonAllowed:
 		if r.launch(ctx, Launch{Kind: Retry, AllowRefused: followUp.Refused && r.limits.MaxRounds == 0}) {
 			return true
 		}
+		r.stopped = hedge.ReasonNoTarget
 		r.budget.Refund()
 	case hedge.ReasonBudget:
 		r.caller.BudgetExhausted()
@@ -203,11 +218,17 @@
 func (r *runState[R]) replaceUnsent(ctx context.Context, kind Kind, followUp FollowUp) bool {
 	state := r.caller.State(Retry)
 	state.Unsent = true
-	if hedge.ShouldRetry(state, !followUp.NotRetriable, r.budget, time.Now()) == hedge.ReasonAllowed && r.replacements < r.limits.MaxReplacements {
+	r.stopped = hedge.ShouldRetry(state, !followUp.NotRetriable, r.budget, time.Now())
+	switch {
+	case r.stopped != hedge.ReasonAllowed:
+	case r.replacements >= r.limits.MaxReplacements:
+		r.stopped = StoppedByReplacements
+	default:
 		r.replacements++
 		if r.launch(ctx, Launch{Kind: kind, Replaces: true}) {
 			return true
 		}
+		r.stopped = hedge.ReasonNoTarget
 	}
 	if kind != First {
 		r.budget.Refund()
--- a/internal/attempts/attempts_test.go
+++ b/internal/attempts/attempts_test.go
@@ -74,7 +74,7 @@
 func (s *scriptedLauncher) BudgetExhausted() { s.budgetExhausted++ }
 
 // Guards against attempts that are made without budget, too often or not at all, and against an Outcome that claims that the
-// request did not run although an attempt may have run.
+// request did not run although an attempt may have run, or that names no reason why attempts stopped.
 func TestRun(t *testing.T) {
 	const ms = time.Millisecond
 	first, hedged, retry := attempts.Launch{Kind: attempts.First}, attempts.Launch{Kind: attempts.Hedge}, attempts.Launch{Kind: attempts.Retry}
@@ -114,7 +114,7 @@
 		},
 		"failed attempt without budget ends the run": {
 			script: []attempt{{result: "lost", duration: 10 * ms}, {result: "answer"}}, limits: immediate,
-			launched: []attempts.Launch{first}, end: attempts.Outcome[string]{Result: "lost"}, elapsed: 10 * ms, budgetExhausted: 1,
+			launched: []attempts.Launch{first}, end: attempts.Outcome[string]{Result: "lost", Stopped: hedge.ReasonBudget}, elapsed: 10 * ms, budgetExhausted: 1,
 		},
 		"failed attempt beside a hedge waits for it": {
 			script: []attempt{{result: "lost", duration: 60 * ms}, {result: "answer", duration: 100 * ms}, {result: "answer"}},
@@ -131,7 +131,7 @@
 			script: []attempt{{result: "unsent"}, {result: "unsent"}, {result: "unsent"}, {result: "answer"}},
 			limits: immediate, tokens: 1,
 			launched: []attempts.Launch{first, replacement, replacement},
-			end:      attempts.Outcome[string]{Result: "unsent", NotRun: true}, tokensLeft: 1,
+			end:      attempts.Outcome[string]{Result: "unsent", NotRun: true, Stopped: attempts.StoppedByReplacements}, tokensLeft: 1,
 		},
 		"token of a hedge that was never sent is returned": {
 			script: []attempt{{result: "answer", duration: 80 * ms}, {result: "unsent", duration: 10 * ms}},
@@ -143,21 +143,21 @@
 			script: []attempt{{result: "shed"}, {result: "shed"}, {result: "shed"}, {result: "answer"}},
 			limits: immediate, tokens: 5,
 			launched: []attempts.Launch{first, retryRefused, retryRefused},
-			end:      attempts.Outcome[string]{Result: "shed", NotRun: true}, tokensLeft: 3,
+			end:      attempts.Outcome[string]{Result: "shed", NotRun: true, Stopped: attempts.StoppedByRefusals}, tokensLeft: 3,
 		},
 		"refused attempts go through rounds without budget": {
 			script: []attempt{{result: "shed"}, {result: "busy"}, {result: "shed"}}, limits: inRounds,
 			launched: []attempts.Launch{first, nextRound, {Kind: attempts.Retry, Replaces: true}},
-			end:      attempts.Outcome[string]{Result: "shed", NotRun: true},
+			end:      attempts.Outcome[string]{Result: "shed", NotRun: true, Stopped: hedge.ReasonNoTarget},
 			elapsed:  30 * ms, budgetExhausted: 1,
 		},
 		"request that may have run is not reported as not run": {
 			script: []attempt{{result: "lost"}, {result: "shed"}}, limits: immediate, tokens: 1,
-			launched: []attempts.Launch{first, retry}, end: attempts.Outcome[string]{Result: "shed"},
+			launched: []attempts.Launch{first, retry}, end: attempts.Outcome[string]{Result: "shed", Stopped: hedge.ReasonNoTarget},
 		},
 		"failure that another target would repeat ends the run": {
 			script: []attempt{{result: "denied"}, {result: "answer"}}, limits: immediate, tokens: 1,
-			launched: []attempts.Launch{first}, end: attempts.Outcome[string]{Result: "denied"}, tokensLeft: 1,
+			launched: []attempts.Launch{first}, end: attempts.Outcome[string]{Result: "denied", Stopped: hedge.ReasonPermanent}, tokensLeft: 1,
 		},
 	}
 	for name, c := range cases {
--- a/internal/query/serve.go
+++ b/internal/query/serve.go
@@ -88,7 +88,7 @@
 type requestSummary struct {
 	attempts, hedges, retries int
 	slowest                   serviceResult // the part that took longest
-	failedParts               []string      // "service: failure" of each service without an answer
+	failedParts               []string      // "service: failure" of each service without an answer, and why it was not tried again
 }
 
 func (r *requestSummary) add(res serviceResult) {
@@ -99,7 +99,7 @@
 		r.slowest = res
 	}
 	if !res.succeeded() {
-		r.failedParts = append(r.failedParts, res.service+": "+string(res.failure))
+		r.failedParts = append(r.failedParts, res.service+": "+string(res.failure)+res.summary.stoppedNote())
 	}
 }
 
--- a/internal/query/work.go
+++ b/internal/query/work.go
@@ -63,6 +63,7 @@
 	hedges       int
 	retries      int
 	triedTargets []string // targets in the order of the attempts
+	stopped      string   // why no attempt followed the last one that failed
 }
 
 func (s *attemptSummary) add(l attempts.Launch, target string) {
@@ -77,6 +78,14 @@
 	}
 }
 
+// stoppedNote tells in a log line why no attempt followed the last one that failed.
+func (s *attemptSummary) stoppedNote() string {
+	if s.stopped == "" {
+		return ""
+	}
+	return " (" + s.stopped + ")"
+}
+
 // run runs the request on the service and returns the result with the summary for the log.
 func (c *serviceCall) run(ctx context.Context) serviceResult {
 	res := c.runAttemptsContained(ctx)
@@ -114,6 +123,7 @@
 		return attemptResult{failure: failureCancelled, notRun: outcome.NotRun, err: context.Cause(ctx)}
 	}
 	outcome.Result.notRun = outcome.NotRun
+	c.summary.stopped = string(outcome.Stopped)
 	return outcome.Result
 }
 
