--- a/test/platform/soak_test.go
+++ b/test/platform/soak_test.go
@@ -108,8 +108,8 @@
 	proxies map[string]*proxy // by target id or node name; "store" is the proxy of the store
 	// checksPauses makes the run check what nodes send to a target that wants nothing for a time.
 	checksPauses bool
-	stop    chan struct{}
-	wg      sync.WaitGroup
+	stop         chan struct{}
+	wg           sync.WaitGroup
 
 	mu                sync.Mutex
 	requests          []requestRecord
