--- a/review/_driver/backend.go
+++ b/review/_driver/backend.go
@@ -31,6 +31,7 @@
 	server   *http.Server
 	conns    map[net.Conn]bool
 	down     bool
+	draining bool
 	lastBeat time.Time
 	running  chan struct{}
 	admitted chan struct{}
@@ -76,8 +77,12 @@
 
 // entry is what the backend writes about itself.
 func (b *backend) entry() map[string]any {
+	state := "ready"
+	if b.draining {
+		state = "draining"
+	}
 	return map[string]any{
-		"service": b.service, "address": b.address, "zone": b.zone, "version": "v1", "slots": b.slots, "state": "ready", "cold_left_ms": 0,
+		"service": b.service, "address": b.address, "zone": b.zone, "version": "v1", "slots": b.slots, "state": state, "cold_left_ms": 0,
 		"seq": b.seq, "born": b.born,
 	}
 }
@@ -94,6 +99,16 @@
 	b.d.store.Put("servers/"+b.id, b.entry())
 }
 
+// drain reports that the backend leaves and returns when the store has accepted that. It serves until the end of the run.
+func (b *backend) drain() time.Time {
+	b.mu.Lock()
+	b.draining = true
+	b.mu.Unlock()
+	b.beat()
+	b.d.rec.add("draining", b.id, "accepted by the store")
+	return time.Now()
+}
+
 // crash ends the process of the backend: nothing listens, all connections are reset. It is back after the given time, with a new id. The entry
 // of the crashed one is removed after three heartbeat intervals.
 func (b *backend) crash(back time.Duration, cause string) {
--- a/review/_driver/cases.go
+++ b/review/_driver/cases.go
@@ -311,6 +311,8 @@
 	}
 	d.publish(append(routes, route{"r-planner", "/nono601/", safe, planner, 8000, 500})...)
 	time.Sleep(time.Until(began.Add(slowFor + contact + 500*time.Millisecond)))
+	leaving := d.backendsOf(ledger)[0]
+	accepted := leaving.drain()
 	added := &traffic{d: d, kind: kind{name: "added", method: http.MethodGet, path: distinct("/nono601/"), deadline: 8 * time.Second, retries: 0}}
 	added.run(20, 20*time.Second)
 	clients.Wait()
@@ -321,9 +323,16 @@
 			old++
 		}
 	}
+	late := 0
+	for _, r := range d.allRuns() {
+		if r.backend == leaving.id && r.at.Sub(accepted) > drainTime {
+			late++
+		}
+	}
 	d.rec.add("added", "route", fmt.Sprintf("%d of %d requests answered 404", old, n))
+	d.rec.add("leaving", leaving.id, fmt.Sprintf("%d requests later than drain_ms after the store accepted that it drains", late))
 	if old > 0 {
-		return fmt.Sprintf("CONFIG: %d of %d requests on a route of the last version are refused with 404, in touch", old, n)
+		return fmt.Sprintf("CONFIG: %d of %d requests on a route of the last version are refused with 404, in touch; beside it, DRAIN: %d requests reach a backend later than drain_ms after it drains", old, n, late)
 	}
 	return ""
 }
--- a/review/_driver/deployment.go
+++ b/review/_driver/deployment.go
@@ -22,6 +22,7 @@
 	heartbeat = 1200 * time.Millisecond
 	contact   = 4 * time.Second // contact_ms
 	apply     = 3 * time.Second // config_apply_ms
+	drainTime = 3 * time.Second // drain_ms
 	host      = "hufi27.example"
 )
 
