--- a/review/_driver/main.go
+++ b/review/_driver/main.go
@@ -51,12 +51,13 @@
 type played func(d *deployment, program string, trouble bool) (broken string)
 
 var cases = map[string]played{
-	"foreign-entry": playForeignEntry,
-	"lost-service":  playLostService,
-	"spoiled-stamp": playSpoiledStamp,
-	"crash-again":   playCrashAgain,
-	"hot-request":   playHotRequest, // no folder of its own: see REPORT.md
-	"big-watch":     playBigWatch,
+	"foreign-entry":   playForeignEntry,
+	"lost-service":    playLostService,
+	"spoiled-stamp":   playSpoiledStamp,
+	"crash-again":     playCrashAgain,
+	"hot-request":     playHotRequest, // no folder of its own: see REPORT.md
+	"big-watch":       playBigWatch,
+	"unheard-refusal": playUnheardRefusal, // no folder of its own: see REPORT.md
 }
 
 func main() {
