--- a/review/_driver-2/backend.go
+++ b/review/_driver-2/backend.go
@@ -32,6 +32,7 @@
 	mu    sync.Mutex // guards the fields below
 	seq   int
 	state string
+	down  bool
 	runs  []run
 	conns map[net.Conn]bool
 }
@@ -56,13 +57,13 @@
 	b.address = b.listener.Addr().String()
 	b.world.record.line("backend %s of %s serves at %s", b.id, b.service, b.address)
 	b.report()
-	go b.accept()
+	go b.accept(b.listener)
 	go b.heartbeats()
 }
 
-func (b *backend) accept() {
+func (b *backend) accept(l net.Listener) {
 	for {
-		conn, err := b.listener.Accept()
+		conn, err := l.Accept()
 		if err != nil {
 			return
 		}
@@ -81,6 +82,12 @@
 		case <-b.stopped:
 			return
 		case <-tick.C:
+			b.mu.Lock()
+			down := b.down
+			b.mu.Unlock()
+			if down {
+				continue
+			}
 			b.report()
 			if b.onHeartbeat != nil {
 				b.onHeartbeat(b)
@@ -100,6 +107,34 @@
 	})
 }
 
+// crash ends the process of the backend: its connections and its port are closed, and it reports nothing.
+func (b *backend) crash() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.down = true
+	b.listener.Close()
+	for conn := range b.conns {
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0) // as the end of a process with unread or unsent bytes
+		}
+		conn.Close()
+	}
+}
+
+// restart starts the backend again under its id and at its address, as a new incarnation.
+func (b *backend) restart() error {
+	l, err := net.Listen("tcp", b.address)
+	if err != nil {
+		return err
+	}
+	b.mu.Lock()
+	b.listener, b.down, b.born, b.seq = l, false, time.Now().UnixMilli(), 0
+	b.mu.Unlock()
+	b.report()
+	go b.accept(l)
+	return nil
+}
+
 func (b *backend) stop() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/review/_driver-2/client.go
+++ b/review/_driver-2/client.go
@@ -70,3 +70,9 @@
 	}
 	a.status, a.header, a.body = resp.StatusCode, resp.Header, body
 }
+
+// sentRequest is an answer with the time at which its request was sent.
+type sentRequest struct {
+	at     time.Time
+	answer answer
+}
--- a/review/_driver-2/recover.go
+++ b/review/_driver-2/recover.go
@@ -9,7 +9,8 @@
 func init() { cases["many-entries"] = manyEntries }
 
 const (
-	recovery     = 12 * time.Second // recovery_s of the settings
+	configApply  = 3000 * time.Millisecond // config_apply_ms of the settings
+	recovery     = 12 * time.Second        // recovery_s of the settings
 	storeLatency = 4 * time.Millisecond
 )
 
--- a/review/_driver-2/world.go
+++ b/review/_driver-2/world.go
@@ -64,7 +64,10 @@
 		return nil, err
 	}
 	w := &world{dir: dir, record: &record{file: file, start: time.Now()}, nextPort: 20001, store: kvsim.New(), memoryMB: 284}
-	w.closers = append(w.closers, func() { file.Close() }, func() { os.RemoveAll(dir) })
+	w.closers = append(w.closers, func() { file.Close() })
+	if os.Getenv("KEEP_LOGS") == "" { // otherwise the logs of the nodes stay
+		w.closers = append(w.closers, func() { os.RemoveAll(dir) })
+	}
 	for range 100 {
 		w.ip = fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(254), rand.IntN(256), 1+rand.IntN(254))
 		claim, err := net.Listen("tcp", w.ip+":20000") // held, so that no other run takes the address
