Tests of crowds of clients that do not behave, seen red

These tests run the built program with a store and targets as stand-ins, let a crowd send what was sent there to each listener of "serve" (front, ready, control, metrics) and of "node" (callers, admin, peers), and check that the process lives, that its peak memory and its sockets stay within the limits of its settings, and that every listener answers an ordinary request while the crowd is there.

The crowds and bounds are fixed here, before any change of the product. The cases that hold already are kept as guards: empty lines without end at each listener, requests without end whose answers are not read, and one endless line at front and control.

--- a/test/platform/platform_test.go
+++ b/test/platform/platform_test.go
@@ -59,6 +59,17 @@
 	nodes           []*process
 	seedAddresses   string // TOML list elements
 	configVersion   int
+	limits          processLimits
+}
+
+// processLimits are the limits that the settings file states for a process. 0 leaves a limit out of the file.
+type processLimits struct{ memoryMB, maxFDs int }
+
+func (l processLimits) String() string {
+	if l == (processLimits{}) {
+		return ""
+	}
+	return fmt.Sprintf("[limits]\nmemory_mb = %d\nmax_fds = %d\n", l.memoryMB, l.maxFDs)
 }
 
 // process is one running node.
@@ -106,8 +117,12 @@
 }
 
 func newDeployment(t *testing.T, nodes int) *deployment {
+	return newLimitedDeployment(t, nodes, processLimits{})
+}
+
+func newLimitedDeployment(t *testing.T, nodes int, limits processLimits) *deployment {
 	s := &deployment{t: t, g: NewWithT(t), store: kvsim.New(), targets: map[string]*shardsim.Target{},
-		targetAddresses: map[string]string{}}
+		targetAddresses: map[string]string{}, limits: limits}
 	l := listen(s.g)
 	s.storeAddress = l.Addr().String()
 	go s.store.Serve(l)
@@ -171,7 +186,7 @@
 	}
 	s.store.Put("op/config", map[string]any{
 		"version": s.configVersion, "services": services,
-		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 10000, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": s.maxBodyBytes(), "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 		"routes": append(deskRoutes(prefixes), map[string]any{
 			"name": "all", "host": requestHost, "prefix": "/all/", "kind": "idempotent", "timeout_ms": 2000, "target_latency_ms": 500,
 			"attempts": 2, "priority": 1, "gather": s.shards(), "top_k": 4, "min_success_share": 0.6,
@@ -179,6 +194,14 @@
 	})
 }
 
+// maxBodyBytes is the published limit of bodies.
+func (s *deployment) maxBodyBytes() int {
+	if s.limits == (processLimits{}) {
+		return 10000
+	}
+	return crowdBodyBytes
+}
+
 // deskRoutes returns a route for single requests that must not run twice for each prefix.
 func deskRoutes(prefixes []string) (routes []map[string]any) {
 	for _, prefix := range prefixes {
@@ -212,7 +235,7 @@
 retry_budget_slack = 58
 [platform]
 address = %q
-`, p.name, s.seedAddresses, bootstrap, p.frontAddress, p.readyAddress, p.controlAddress, s.storeAddress)
+%s`, p.name, s.seedAddresses, bootstrap, p.frontAddress, p.readyAddress, p.controlAddress, s.storeAddress, s.limits)
 	s.g.Expect(os.WriteFile(p.settingsPath, []byte(text), 0o600)).To(Succeed())
 	log := &logBuffer{}
 	cmd := exec.Command(binary, "serve", "--metrics-listen", p.metricsAddress, "--advertise-peer", p.advertisedAddress)
