Bodies of all callers together stay within the memory of the process

Cause: each body was bounded, their sum was not. io.ReadAll also held up to twice what had arrived, and a body that had stopped stayed for 10 s or the caller's own deadline.

Change: intake.Budget holds what all requests occupy, 15% of memory_mb. A body reserves its buffer before it grows, until the request is answered. When the budget is used up, the incomplete request that has wasted the most memory and time gives way: it gets 503, which is true since it has not been passed on, and its connection is closed. Complete requests are kept. An eighth of the budget is left to small requests, which may displace any incomplete one.

Why it works: what is reserved is never more than the budget, and the garbage of grown buffers is bounded by the runtime's memory limit. A client that stops keeps nothing, since its product of memory and time without progress grows until another needs the memory.

--- a/internal/callerserver/callerserver.go
+++ b/internal/callerserver/callerserver.go
@@ -12,6 +12,8 @@
 
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
+
+	"github.com/medlarshunt/medlarshunt/internal/intake"
 )
 
 const (
@@ -47,6 +49,8 @@
 	// AcceptTime is the time from the start of a stop after which requests on keep-alive connections are refused, because
 	// they might not end before the process does.
 	AcceptTime time.Duration
+	// Budget bounds the memory of requests; nil sets no bound.
+	Budget *intake.Budget
 	// StopTimeout is the time from the start of a stop after which Stop returns, and the process exits, even if
 	// requests are still running.
 	StopTimeout time.Duration
@@ -86,6 +90,9 @@
 // NewServer returns a server that passes requests to handler. refuse answers requests that reach a stopping server too late;
 // they have not run.
 func NewServer(cfg Config, handler, refuse http.Handler, log *logrus.Entry) *Server {
+	if cfg.Budget == nil {
+		cfg.Budget = intake.NewBudget(0, time.Now)
+	}
 	s := &Server{cfg: cfg, log: log, handler: handler, refuse: refuse, conns: map[net.Conn]*callerConn{}, createdAt: time.Now()}
 	s.ending, s.end = context.WithCancelCause(context.Background())
 	s.http = &http.Server{
@@ -153,7 +160,9 @@
 		s.refuse.ServeHTTP(w, r)
 		return
 	}
-	ctx, cancel := context.WithCancelCause(r.Context())
+	ctx, account := s.cfg.Budget.Begin(r.Context(), w)
+	defer account.Close()
+	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	defer context.AfterFunc(s.ending, func() { cancel(ErrStopping) })()
 	s.handler.ServeHTTP(&closingResponseWriter{ResponseWriter: w, server: s}, r.WithContext(ctx))
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -9,6 +9,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/medlarshunt/medlarshunt/internal/callerserver"
+	"github.com/medlarshunt/medlarshunt/internal/intake"
 	"github.com/medlarshunt/medlarshunt/internal/peer"
 	"github.com/medlarshunt/medlarshunt/internal/statechart"
 )
@@ -42,9 +43,11 @@
 func newServers(cfg Config, deps Deps, c *core) *servers {
 	stopTime := cfg.GracePeriod - stopMargin
 	s := &servers{core: c, deps: deps}
+	budget := intake.NewBudget(int64(requestMemoryShare*float64(cfg.MemoryLimitBytes)), time.Now)
+	deps.MetricsSet.NewGauge("medlarshunt_request_memory_bytes", func() float64 { return float64(budget.Used()) })
 	s.callerServer = callerserver.NewServer(callerserver.Config{
 		IdleTimeout: c.idleTimeout, BalancerNoticeTime: min(balancerNoticeTime, stopTime/2), FirstRequestTime: firstRequestTime,
-		AcceptTime: min(acceptTime, stopTime/2), StopTimeout: stopTime,
+		AcceptTime: min(acceptTime, stopTime/2), StopTimeout: stopTime, Budget: budget,
 	}, deps.Handler(c.engine), deps.StoppingHandler, deps.Log)
 	s.readyServer = &http.Server{Handler: deps.ReadyHandler(s.isReady), ReadHeaderTimeout: auxServerTimeout}
 	s.metricsServer = &http.Server{Handler: metricsHandler(deps.MetricsSet), ReadHeaderTimeout: auxServerTimeout}
--- a/test/platform/crowd_test.go
+++ b/test/platform/crowd_test.go
@@ -108,6 +108,7 @@
 		s.expectOrdinaryAnswers(p)
 		s.expectWithinLimits(p)
 		if time.Now().After(end) {
+			s.t.Logf("peak memory %.0f MB", crowd.PeakMemoryMB(s.t, p.currentCommand().Process.Pid))
 			return
 		}
 	}
