Heads of all callers together stay within the memory of the process

Cause: only the bytes of one head were bounded, at 128 KB, and not what they become: a parsed line of 4 bytes takes over 100. Nothing bounded the sum, and a head could stay unfinished for 10 s.

Change: the callers' listener wraps its connections. A connection reserves in the budget of requests what the head that is being read will take, bytes and lines; the reservation passes to the request. A head beyond the published limit is refused with 431 before it is complete. An incomplete head gives way like an incomplete body; its connection is closed without an answer, and nothing of it has been passed on. A pipelined request, whose head was read with an earlier one, reserves when it begins.

Why it works: the cost of a line is above what was measured for the parsed header and its copy. Bytes of a body that are read with a head don't count, so a legal request costs little.

--- a/cmd/medlarshunt/serve.go
+++ b/cmd/medlarshunt/serve.go
@@ -156,7 +156,7 @@
 	deps := gateway.Deps{
 		Source: platform.NewStore(s.StoreAddress, contain), Codec: platform.Codec{}, Log: log, MetricsSet: set, Panics: contain,
 		Handler: func(e *query.Engine) http.Handler { return platform.NewHandler(e) }, StoppingHandler: http.HandlerFunc(platform.RejectDuringShutdown),
-		ReadyHandler: platform.ReadyHandler,
+		CrowdedHandler: http.HandlerFunc(platform.RejectCrowded), ReadyHandler: platform.ReadyHandler,
 	}
 	for _, l := range []struct {
 		listener *net.Listener
--- a/internal/callerserver/callerserver.go
+++ b/internal/callerserver/callerserver.go
@@ -49,8 +49,8 @@
 	// AcceptTime is the time from the start of a stop after which requests on keep-alive connections are refused, because
 	// they might not end before the process does.
 	AcceptTime time.Duration
-	// Budget bounds the memory of requests; nil sets no bound.
-	Budget *intake.Budget
+	// Guard bounds what callers occupy; nil sets no bounds.
+	Guard *intake.Guard
 	// StopTimeout is the time from the start of a stop after which Stop returns, and the process exits, even if
 	// requests are still running.
 	StopTimeout time.Duration
@@ -90,8 +90,8 @@
 // NewServer returns a server that passes requests to handler. refuse answers requests that reach a stopping server too late;
 // they have not run.
 func NewServer(cfg Config, handler, refuse http.Handler, log *logrus.Entry) *Server {
-	if cfg.Budget == nil {
-		cfg.Budget = intake.NewBudget(0, time.Now)
+	if cfg.Guard == nil {
+		cfg.Guard = intake.NewGuard(intake.Config{})
 	}
 	s := &Server{cfg: cfg, log: log, handler: handler, refuse: refuse, conns: map[net.Conn]*callerConn{}, createdAt: time.Now()}
 	s.ending, s.end = context.WithCancelCause(context.Background())
@@ -99,6 +99,7 @@
 		Handler: http.HandlerFunc(s.serve), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ConnContext: s.connContext, ConnState: s.connState,
 	}
+	cfg.Guard.Protect(s.http)
 	return s
 }
 
@@ -120,7 +121,7 @@
 
 // Serve serves a listener until it is closed.
 func (s *Server) Serve(l net.Listener) error {
-	err := s.http.Serve(l)
+	err := s.http.Serve(s.cfg.Guard.Listen(l))
 	if s.Stopping() {
 		return nil
 	}
@@ -160,9 +161,7 @@
 		s.refuse.ServeHTTP(w, r)
 		return
 	}
-	ctx, account := s.cfg.Budget.Begin(r.Context(), w)
-	defer account.Close()
-	ctx, cancel := context.WithCancelCause(ctx)
+	ctx, cancel := context.WithCancelCause(r.Context())
 	defer cancel(nil)
 	defer context.AfterFunc(s.ending, func() { cancel(ErrStopping) })()
 	s.handler.ServeHTTP(&closingResponseWriter{ResponseWriter: w, server: s}, r.WithContext(ctx))
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -47,9 +47,10 @@
 	Log             *logrus.Entry
 	MetricsSet      *metrics.Set
 	// Handler returns the handler of callers' requests, StoppingHandler answers those that reach a stopping process too late,
-	// and ReadyHandler answers the load balancer's readiness checks.
+	// CrowdedHandler those for which there is no memory, and ReadyHandler answers the load balancer's readiness checks.
 	Handler         func(*query.Engine) http.Handler
 	StoppingHandler http.Handler
+	CrowdedHandler  http.Handler
 	ReadyHandler    func(ready func() bool) http.Handler
 	DialPeer        peer.DialFunc     // nil dials TCP
 	DialTarget      httpcall.DialFunc // nil dials TCP
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -47,7 +47,8 @@
 	deps.MetricsSet.NewGauge("medlarshunt_request_memory_bytes", func() float64 { return float64(budget.Used()) })
 	s.callerServer = callerserver.NewServer(callerserver.Config{
 		IdleTimeout: c.idleTimeout, BalancerNoticeTime: min(balancerNoticeTime, stopTime/2), FirstRequestTime: firstRequestTime,
-		AcceptTime: min(acceptTime, stopTime/2), StopTimeout: stopTime, Budget: budget,
+		AcceptTime: min(acceptTime, stopTime/2), StopTimeout: stopTime,
+		Guard: intake.NewGuard(intake.Config{Budget: budget, MaxHeadBytes: c.maxHeadBytes, Refuse: deps.CrowdedHandler}),
 	}, deps.Handler(c.engine), deps.StoppingHandler, deps.Log)
 	s.readyServer = &http.Server{Handler: deps.ReadyHandler(s.isReady), ReadHeaderTimeout: auxServerTimeout}
 	s.metricsServer = &http.Server{Handler: metricsHandler(deps.MetricsSet), ReadHeaderTimeout: auxServerTimeout}
@@ -57,6 +58,14 @@
 	return s
 }
 
+// maxHeadBytes returns the limit of heads of the configuration in force, or 0 without a configuration.
+func (c *core) maxHeadBytes() int {
+	if t := c.follower.View().Table; t != nil {
+		return t.Configuration.Limits.HeaderBytes
+	}
+	return 0
+}
+
 // idleTimeout returns the idle timeout of the configuration in force, or 0 without a configuration.
 func (c *core) idleTimeout() time.Duration {
 	if t := c.follower.View().Table; t != nil {
--- a/internal/intake/budget.go
+++ b/internal/intake/budget.go
@@ -93,6 +93,18 @@
 	}
 }
 
+// ReserveUpTo reserves what the account lacks to total bytes.
+func (a *Account) ReserveUpTo(total int) error {
+	a.budget.mu.Lock()
+	missing := int64(total) - a.held
+	a.budget.mu.Unlock()
+	if missing <= 0 {
+		a.Progress()
+		return nil
+	}
+	return a.Reserve(int(missing))
+}
+
 // reserve adds n bytes to the account, or returns the account that has to give way first.
 func (b *Budget) reserve(a *Account, n int64) (victim *Account, err error) {
 	b.mu.Lock()
--- a/internal/intake/budget_test.go
+++ b/internal/intake/budget_test.go
@@ -126,7 +126,7 @@
 			g := NewWithT(t)
 			b := intake.NewBudget(c.capacity, time.Now)
 			w := httptest.NewRecorder()
-			_, account := b.Begin(t.Context(), w)
+			account := b.Open(func() {})
 			body, err := intake.ReadBody(w, httptest.NewRequest(http.MethodPost, "/", c.body), 100*kb, time.Time{}, account)
 			if c.want == nil {
 				g.Expect(err).NotTo(HaveOccurred())
--- /dev/null
+++ b/internal/intake/guard.go
@@ -0,0 +1,125 @@
+package intake
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+)
+
+// Config describes the bounds on the clients of one HTTP server.
+type Config struct {
+	// Budget bounds the memory of the requests of all clients; nil sets no bound.
+	Budget *Budget
+	// MaxHeadBytes returns the size beyond which a head is refused before it is complete; nil or 0 leaves that to the server.
+	MaxHeadBytes func() int
+	// Refuse answers a request for which there is no memory. The request has not run. nil answers 503.
+	Refuse http.Handler
+}
+
+// Guard bounds what the clients of one HTTP server occupy.
+type Guard struct{ cfg Config }
+
+// NewGuard returns a guard.
+func NewGuard(cfg Config) *Guard {
+	if cfg.Budget == nil {
+		cfg.Budget = NewBudget(0, time.Now)
+	}
+	if cfg.MaxHeadBytes == nil {
+		cfg.MaxHeadBytes = func() int { return 0 }
+	}
+	if cfg.Refuse == nil {
+		cfg.Refuse = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) })
+	}
+	return &Guard{cfg: cfg}
+}
+
+// Protect makes a server that has not been started account for the requests of its clients. Its connections come from a listener
+// that Listen returned, with or without TLS around it.
+func (g *Guard) Protect(s *http.Server) {
+	handler, connContext, connState := s.Handler, s.ConnContext, s.ConnState
+	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { g.serve(handler, w, r) })
+	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		if connContext != nil {
+			ctx = connContext(ctx, c)
+		}
+		return context.WithValue(ctx, connKey{}, guardedConn(c))
+	}
+	s.ConnState = func(c net.Conn, state http.ConnState) {
+		if conn := guardedConn(c); conn != nil && state == http.StateIdle {
+			conn.awaitHead()
+		}
+		if connState != nil {
+			connState(c, state)
+		}
+	}
+}
+
+// Listen returns a listener whose connections account for the heads that are read from them.
+func (g *Guard) Listen(l net.Listener) net.Listener { return &listener{Listener: l, guard: g} }
+
+type (
+	connKey    struct{}
+	accountKey struct{}
+)
+
+// serve passes a request to the handler with an account, which is closed when the handler returns.
+func (g *Guard) serve(handler http.Handler, w http.ResponseWriter, r *http.Request) {
+	conn, _ := r.Context().Value(connKey{}).(*conn)
+	account := g.begin(conn, w)
+	defer account.Close()
+	err := account.ReserveUpTo(headCost(headSize(r)))
+	if err == nil && r.ContentLength == 0 {
+		err = account.Complete()
+	}
+	if err != nil {
+		w.Header().Set("Connection", "close")
+		g.cfg.Refuse.ServeHTTP(w, r)
+		return
+	}
+	handler.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), accountKey{}, account)))
+}
+
+// begin returns the account of a request whose head has been read.
+func (g *Guard) begin(conn *conn, w http.ResponseWriter) *Account {
+	if conn != nil {
+		if account := conn.beginRequest(); account != nil {
+			return account
+		}
+	}
+	response := http.NewResponseController(w)
+	return g.cfg.Budget.Open(func() { _ = response.SetReadDeadline(longAgo) }) // an error means that the client has disconnected
+}
+
+// longAgo is a deadline that ends the reading of a connection at once.
+var longAgo = time.Unix(0, 1)
+
+// unlimited is the budget of requests that have none.
+var unlimited = NewBudget(0, time.Now)
+
+// AccountOf returns the account of a request of a protected server, or one without a limit.
+func AccountOf(ctx context.Context) *Account {
+	if a, ok := ctx.Value(accountKey{}).(*Account); ok {
+		return a
+	}
+	return unlimited.Open(func() {})
+}
+
+// lineBytes is what a parsed header line occupies beside its bytes, at most: entries of the maps of the request and of the copy that
+// is passed on, slices of values, and what the collector has not freed yet.
+const lineBytes = 256
+
+// headCost returns the memory that a head takes once it is parsed.
+func headCost(bytes, lines int) int { return bytes + lines*lineBytes }
+
+// headSize returns the bytes and the number of the header lines of a request.
+func headSize(r *http.Request) (bytes, lines int) {
+	bytes = len(r.RequestURI)
+	for name, values := range r.Header {
+		lines += len(values)
+		for _, value := range values {
+			bytes += len(name) + len(value)
+		}
+	}
+	return bytes, lines
+}
