Heads at the readiness and metrics addresses stay within the memory of the process

Cause: these servers had the default of net/http, 1 MB a head, and no bound on all heads. Connections were kept without a limit of time.

Change: both have a guard like the callers' listener, with 2% of the memory each, heads of 16 KB at most, and limits of time for a request, its answer and idle connections. The load balancer and operators send a short GET.

--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -25,8 +25,15 @@
 	acceptTime = 3200 * time.Millisecond
 	// stopMargin is the part of the grace period that is reserved for the exit of the process.
 	stopMargin = 500 * time.Millisecond
-	// auxServerTimeout bounds the reading of a request's header at the readiness and metrics addresses.
-	auxServerTimeout = 2 * time.Second
+	// auxRequestTimeout bounds the reading of a request at the readiness and metrics addresses, auxAnswerTimeout the sending of its
+	// answer, and auxIdleTimeout the time between two requests on a connection.
+	auxRequestTimeout = 2 * time.Second
+	auxAnswerTimeout  = 10 * time.Second
+	auxIdleTimeout    = time.Minute
+	// auxMaxHeadBytes bounds the size of a request's head at these addresses.
+	auxMaxHeadBytes = 16 << 10
+	// auxMemoryShare is the fraction of Config.MemoryLimitBytes that requests at one of these addresses may occupy.
+	auxMemoryShare = 0.02
 )
 
 // servers holds the servers of the process.
@@ -34,8 +41,8 @@
 	core          *core
 	deps          Deps
 	callerServer  *callerserver.Server
-	readyServer   *http.Server
-	metricsServer *http.Server
+	ready         *auxServer
+	metrics       *auxServer
 	peerServer    *peer.Server
 	stopIdleCheck context.CancelFunc
 }
@@ -50,8 +57,8 @@
 		AcceptTime: min(acceptTime, stopTime/2), StopTimeout: stopTime,
 		Guard: intake.NewGuard(intake.Config{Budget: budget, MaxHeadBytes: c.maxHeadBytes, Refuse: deps.CrowdedHandler}),
 	}, deps.Handler(c.engine), deps.StoppingHandler, deps.Log)
-	s.readyServer = &http.Server{Handler: deps.ReadyHandler(s.isReady), ReadHeaderTimeout: auxServerTimeout}
-	s.metricsServer = &http.Server{Handler: metricsHandler(deps.MetricsSet), ReadHeaderTimeout: auxServerTimeout}
+	s.ready = newAuxServer(cfg, deps.ReadyHandler(s.isReady))
+	s.metrics = newAuxServer(cfg, metricsHandler(deps.MetricsSet))
 	if deps.PeerListener != nil {
 		s.peerServer = peer.NewServer(deps.PeerListener, c.peerMethods(), deps.Panics)
 	}
@@ -89,9 +96,9 @@
 	s.stopIdleCheck = cancel
 	go s.deps.Panics.Loop(ctx, "idle timeout", s.callerServer.EnforceIdleTimeout)
 	go s.run("callers", func() error { return s.callerServer.Serve(s.deps.CallerListener) })
-	go s.run("readiness", func() error { return s.readyServer.Serve(s.deps.ReadyListener) })
+	go s.run("readiness", func() error { return s.ready.serve(s.deps.ReadyListener) })
 	if s.deps.MetricsListener != nil {
-		go s.run("metrics", func() error { return s.metricsServer.Serve(s.deps.MetricsListener) })
+		go s.run("metrics", func() error { return s.metrics.serve(s.deps.MetricsListener) })
 	}
 	if s.peerServer != nil {
 		go s.run("peers", s.peerServer.Serve)
