Connections of clients leave the process the descriptors that it needs

By reading: the server for other nodes ended for good when it could not accept a connection.

Cause: no listener bounded its connections; a connection without a request stayed for the published idle time, at the other addresses for ever.

Change: each listener has a limit that follows from max_fds and memory_mb. Beyond it, the connection gives way that has sent no request for longest, then the one that is idle for longest, then the oldest with an incomplete request. One that serves a complete request never does; a request that is read on a connection that has given way is not handled (TestRequestsAreNotHandledOnClosedConnections). The server for other nodes waits and accepts again when there is no descriptor.

Why it works: an ordinary client sends its request soon after it connects, so it is the youngest among those without one.

--- a/cmd/medlarshunt/serve.go
+++ b/cmd/medlarshunt/serve.go
@@ -147,7 +147,7 @@
 func gatewayConfig(s platform.Settings, f serveFlags) gateway.Config {
 	return gateway.Config{
 		Node: s.Node, Domain: s.Domain, Regions: s.Regions, Seeds: s.Seeds, GracePeriod: s.GracePeriod,
-		Budget: query.RetryBudget{Ratio: s.RetryRatio, Slack: s.RetrySlack}, MemoryLimitBytes: int64(s.MemoryMB) << 20,
+		Budget: query.RetryBudget{Ratio: s.RetryRatio, Slack: s.RetrySlack}, MemoryLimitBytes: int64(s.MemoryMB) << 20, MaxFDs: s.MaxFDs,
 		ApplyTimeout: s.ApplyTimeout, Bootstrap: s.Bootstrap, AdvertisedPeerAddress: f.advertisePeer,
 	}
 }
--- a/internal/gateway/auxserver.go
+++ b/internal/gateway/auxserver.go
@@ -14,14 +14,14 @@
 	guard *intake.Guard
 }
 
-func newAuxServer(cfg Config, handler http.Handler) *auxServer {
+func newAuxServer(cfg Config, handler http.Handler, maxConnections int) *auxServer {
 	s := &auxServer{
 		http: &http.Server{
 			Handler: handler, MaxHeaderBytes: auxMaxHeadBytes, ReadTimeout: auxRequestTimeout, WriteTimeout: auxAnswerTimeout, IdleTimeout: auxIdleTimeout,
 		},
 		guard: intake.NewGuard(intake.Config{
 			Budget:       intake.NewBudget(int64(auxMemoryShare*float64(cfg.MemoryLimitBytes)), time.Now),
-			MaxHeadBytes: func() int { return auxMaxHeadBytes },
+			MaxHeadBytes: func() int { return auxMaxHeadBytes }, MaxConnections: maxConnections,
 		}),
 	}
 	s.guard.Protect(s.http)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -30,6 +30,7 @@
 	ApplyTimeout     time.Duration     // time within which a new configuration must be in force; 0 takes the default
 	Budget           query.RetryBudget
 	MemoryLimitBytes int64 // memory limit of the process in bytes; 0 for no limit
+	MaxFDs           int   // descriptors that the process may open; 0 for no limit
 	// AdvertisedPeerAddress is where other nodes reach this one; empty means the address of the peer listener.
 	AdvertisedPeerAddress string
 	// Bootstrap is set when the whole system starts for the first time.
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -32,6 +32,15 @@
 	auxIdleTimeout    = time.Minute
 	// auxMaxHeadBytes bounds the size of a request's head at these addresses.
 	auxMaxHeadBytes = 16 << 10
+	// callerSocketShare, peerSocketShare and auxSocketShare are the fractions of the sockets of the process that clients of the callers',
+	// the peers', and each of the other two addresses may hold. The rest is for connections that the process opens.
+	callerSocketShare = 0.5
+	peerSocketShare   = 0.125
+	auxSocketShare    = 0.015
+	// connectionMemoryShare is the fraction of Config.MemoryLimitBytes that connections of callers may occupy beside their requests.
+	connectionMemoryShare = 0.2
+	// peerMemoryShare is the fraction of Config.MemoryLimitBytes that connections of other nodes may occupy.
+	peerMemoryShare = 0.05
 	// auxMemoryShare is the fraction of Config.MemoryLimitBytes that requests at one of these addresses may occupy.
 	auxMemoryShare = 0.02
 )
@@ -50,17 +59,24 @@
 func newServers(cfg Config, deps Deps, c *core) *servers {
 	stopTime := cfg.GracePeriod - stopMargin
 	s := &servers{core: c, deps: deps}
+	limit := func(socketShare, memoryShare float64) int {
+		return intake.ConnectionLimit(cfg.MaxFDs, cfg.MemoryLimitBytes, socketShare, memoryShare)
+	}
 	budget := intake.NewBudget(int64(requestMemoryShare*float64(cfg.MemoryLimitBytes)), time.Now)
 	deps.MetricsSet.NewGauge("medlarshunt_request_memory_bytes", func() float64 { return float64(budget.Used()) })
+	guard := intake.NewGuard(intake.Config{
+		Budget: budget, MaxHeadBytes: c.maxHeadBytes, MaxConnections: limit(callerSocketShare, connectionMemoryShare), Refuse: deps.CrowdedHandler,
+	})
+	deps.MetricsSet.NewGauge("medlarshunt_caller_connections", func() float64 { return float64(guard.OpenConnections()) })
 	s.callerServer = callerserver.NewServer(callerserver.Config{
 		IdleTimeout: c.idleTimeout, BalancerNoticeTime: min(balancerNoticeTime, stopTime/2), FirstRequestTime: firstRequestTime,
 		AcceptTime: min(acceptTime, stopTime/2), StopTimeout: stopTime,
-		Guard: intake.NewGuard(intake.Config{Budget: budget, MaxHeadBytes: c.maxHeadBytes, Refuse: deps.CrowdedHandler}),
+		Guard: guard,
 	}, deps.Handler(c.engine), deps.StoppingHandler, deps.Log)
-	s.ready = newAuxServer(cfg, deps.ReadyHandler(s.isReady))
-	s.metrics = newAuxServer(cfg, metricsHandler(deps.MetricsSet))
+	s.ready = newAuxServer(cfg, deps.ReadyHandler(s.isReady), limit(auxSocketShare, auxMemoryShare))
+	s.metrics = newAuxServer(cfg, metricsHandler(deps.MetricsSet), limit(auxSocketShare, auxMemoryShare))
 	if deps.PeerListener != nil {
-		s.peerServer = peer.NewServer(deps.PeerListener, c.peerMethods(), deps.Panics)
+		s.peerServer = peer.NewServer(deps.PeerListener, c.peerMethods(), peer.ServerConfig{Panics: deps.Panics, MaxConnections: limit(peerSocketShare, peerMemoryShare)})
 	}
 	return s
 }
--- a/internal/intake/budget.go
+++ b/internal/intake/budget.go
@@ -187,6 +187,27 @@
 	return nil
 }
 
+// isIncomplete reports whether the request may have to give way.
+func (a *Account) isIncomplete() bool {
+	a.budget.mu.Lock()
+	defer a.budget.mu.Unlock()
+	_, incomplete := a.budget.incomplete[a]
+	return incomplete
+}
+
+// giveUp makes an incomplete request give way, so that it is not handled, and reports whether it was incomplete. The caller ends the
+// reading of the request.
+func (a *Account) giveUp() bool {
+	a.budget.mu.Lock()
+	defer a.budget.mu.Unlock()
+	if _, incomplete := a.budget.incomplete[a]; !incomplete {
+		return false
+	}
+	delete(a.budget.incomplete, a)
+	close(a.evicted)
+	return true
+}
+
 // Close gives all reserved bytes back. The account cannot be used afterwards.
 func (a *Account) Close() {
 	a.budget.mu.Lock()
--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/rotisserie/eris"
 )
@@ -20,13 +21,19 @@
 	guard *Guard
 }
 
-// Accept implements net.Listener.
+// Accept implements net.Listener. It closes connections for which there is no room.
 func (l *listener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		accepted, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		c := &conn{Conn: accepted, guard: l.guard, since: time.Now()}
+		if l.guard.connections.Admit(c) {
+			return c, nil
+		}
+		_ = accepted.Close() // the client may have closed it already
 	}
-	return &conn{Conn: c, guard: l.guard}, nil
 }
 
 // conn is a connection of a client of an HTTP server. It reserves memory for the head that is being read. mu guards the fields
@@ -35,10 +42,14 @@
 	net.Conn
 	guard *Guard
 
-	mu      sync.Mutex
-	serving bool     // a request is served, or its body is read
-	head    *Account // of the head that is being read; nil before its first byte and while a request is served
-	size    headScan
+	mu       sync.Mutex
+	account  *Account // of the current request; nil before its first byte
+	handling bool     // a head has been read, and the connection does not wait for the next one yet
+	requests int      // requests in the handler; more than one with HTTP/2
+	size     headScan
+	served   bool      // has had a complete request
+	since    time.Time // when the connection last ended a request, or was opened
+	closing  bool      // has given way; a request that is read now is not handled
 }
 
 // errCrowded ends the reading of a connection. net/http answers nothing after an error of this type.
@@ -70,26 +81,31 @@
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	c.mu.Lock()
-	head := c.head
+	var head *Account
+	if !c.handling {
+		head = c.account
+	}
+	c.closing = true
 	c.mu.Unlock()
 	err := c.Conn.Close()
 	if head != nil {
 		head.Close()
 	}
+	c.guard.connections.Remove(c)
 	return err
 }
 
 // receiveHead accounts for bytes that have been received. It reports false when the connection must be closed.
 func (c *conn) receiveHead(received []byte) bool {
 	c.mu.Lock()
-	if c.serving {
+	if c.handling {
 		c.mu.Unlock()
 		return true
 	}
-	if c.head == nil {
-		c.head = c.guard.cfg.Budget.Open(c.giveWay)
+	if c.account == nil {
+		c.account = c.guard.cfg.Budget.Open(c.stopReading)
 	}
-	head := c.head
+	head := c.account
 	c.size.add(received)
 	size := c.size
 	c.mu.Unlock()
@@ -100,32 +116,74 @@
 	return head.ReserveUpTo(headCost(size.bytes, size.lines)) == nil
 }
 
-// giveWay ends the reading of the current request: of its head by closing the connection, of its body so that it can be refused.
-func (c *conn) giveWay() {
+// stopReading ends the reading of the current request: of its head by closing the connection, of its body so that it can be refused.
+func (c *conn) stopReading() {
 	c.mu.Lock()
-	serving := c.serving
+	handling := c.handling
 	c.mu.Unlock()
-	if serving {
+	if handling {
 		_ = c.SetReadDeadline(longAgo) // an error means that the client has disconnected
 		return
 	}
 	_ = c.Close() // the client may have closed it already
 }
 
-// beginRequest returns the account of the head that has been read; nil if nothing was read for it, because requests were pipelined.
-func (c *conn) beginRequest() *Account {
+// Standing implements Client.
+func (c *conn) Standing() Standing {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := Standing{Served: c.served, Since: c.since, Phase: Serving}
+	switch {
+	case c.account == nil && !c.handling:
+		s.Phase = Awaiting
+	case c.account != nil && c.requests <= 1 && c.account.isIncomplete():
+		s.Phase = Reading
+	}
+	return s
+}
+
+// GiveWay implements Client.
+func (c *conn) GiveWay() bool {
+	c.mu.Lock()
+	account := c.account
+	if account == nil {
+		c.closing = c.closing || !c.handling
+	}
+	closing := c.closing
+	c.mu.Unlock()
+	if !closing && (account == nil || !account.giveUp()) {
+		return false
+	}
+	_ = c.Close() // the client may have closed it already
+	return true
+}
+
+// beginRequest returns the account of a request whose head has been read. It reports false when the connection has been closed.
+func (c *conn) beginRequest() (*Account, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closing {
+		return nil, false
+	}
+	if c.account == nil || c.handling { // pipelined, or a second stream
+		c.account = c.guard.cfg.Budget.Open(c.stopReading)
+	}
+	c.handling, c.served = true, true
+	c.requests++
+	return c.account, true
+}
+
+func (c *conn) endRequest() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	account := c.head
-	c.serving, c.head, c.size = true, nil, headScan{}
-	return account
+	c.requests--
 }
 
 // awaitHead is called when the connection waits for the next request.
 func (c *conn) awaitHead() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.serving = false
+	c.account, c.handling, c.size, c.since = nil, false, headScan{}, time.Now()
 }
 
 // headScan counts the bytes and lines of a head up to its end.
--- a/internal/intake/guard.go
+++ b/internal/intake/guard.go
@@ -13,12 +13,17 @@
 	Budget *Budget
 	// MaxHeadBytes returns the size beyond which a head is refused before it is complete; nil or 0 leaves that to the server.
 	MaxHeadBytes func() int
+	// MaxConnections bounds the open connections; 0 sets no bound.
+	MaxConnections int
 	// Refuse answers a request for which there is no memory. The request has not run. nil answers 503.
 	Refuse http.Handler
 }
 
 // Guard bounds what the clients of one HTTP server occupy.
-type Guard struct{ cfg Config }
+type Guard struct {
+	cfg         Config
+	connections *Connections
+}
 
 // NewGuard returns a guard.
 func NewGuard(cfg Config) *Guard {
@@ -31,7 +36,7 @@
 	if cfg.Refuse == nil {
 		cfg.Refuse = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) })
 	}
-	return &Guard{cfg: cfg}
+	return &Guard{cfg: cfg, connections: NewConnections(cfg.MaxConnections)}
 }
 
 // Protect makes a server that has not been started account for the requests of its clients. Its connections come from a listener
@@ -66,8 +71,14 @@
 // serve passes a request to the handler with an account, which is closed when the handler returns.
 func (g *Guard) serve(handler http.Handler, w http.ResponseWriter, r *http.Request) {
 	conn, _ := r.Context().Value(connKey{}).(*conn)
-	account := g.begin(conn, w)
+	account, ok := g.begin(conn, w)
+	if !ok {
+		panic(http.ErrAbortHandler) // the connection has given way to others and cannot be answered
+	}
 	defer account.Close()
+	if conn != nil {
+		defer conn.endRequest()
+	}
 	err := account.ReserveUpTo(headCost(headSize(r)))
 	if err == nil && r.ContentLength == 0 {
 		err = account.Complete()
@@ -80,17 +91,18 @@
 	handler.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), accountKey{}, account)))
 }
 
-// begin returns the account of a request whose head has been read.
-func (g *Guard) begin(conn *conn, w http.ResponseWriter) *Account {
+// begin returns the account of a request whose head has been read, and reports whether the request may be handled.
+func (g *Guard) begin(conn *conn, w http.ResponseWriter) (*Account, bool) {
 	if conn != nil {
-		if account := conn.beginRequest(); account != nil {
-			return account
-		}
+		return conn.beginRequest()
 	}
 	response := http.NewResponseController(w)
-	return g.cfg.Budget.Open(func() { _ = response.SetReadDeadline(longAgo) }) // an error means that the client has disconnected
+	return g.cfg.Budget.Open(func() { _ = response.SetReadDeadline(longAgo) }), true // an error means that the client has disconnected
 }
 
+// OpenConnections returns the number of open connections.
+func (g *Guard) OpenConnections() int { return g.connections.Open() }
+
 // longAgo is a deadline that ends the reading of a connection at once.
 var longAgo = time.Unix(0, 1)
 
--- a/internal/measure/wire.go
+++ b/internal/measure/wire.go
@@ -108,7 +108,7 @@
 		result.Parts = append(result.Parts, answeredPart(a))
 	}
 	s := peer.NewServer(l, handler.Map{peer.MethodSearch: handler.New(
-		func(context.Context, peer.LegRequest) (peer.LegResult, error) { return result, nil })}, nil)
+		func(context.Context, peer.LegRequest) (peer.LegResult, error) { return result, nil })}, peer.ServerConfig{})
 	done := make(chan error, 1)
 	go func() { done <- s.Serve() }()
 	pool := peer.NewPool(peer.PoolConfig{})
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -33,7 +33,7 @@
 func newServers(cfg Config, deps Deps, c *core) *servers {
 	s := &servers{cfg: cfg, core: c}
 	methods := &peerMethods{lifecycle: c.lifecycle, entry: c.entry, relay: c.relay, members: c.members, config: c.syncer}
-	s.peers = peer.NewServer(deps.PeerListener, methods.handlers(), deps.Panics)
+	s.peers = peer.NewServer(deps.PeerListener, methods.handlers(), peer.ServerConfig{Panics: deps.Panics})
 	if deps.CallerListener != nil {
 		s.callers = &http.Server{Handler: c.entry.Handler(), ReadHeaderTimeout: readHeaderTimeout}
 		closeUnusedAtShutdown(s.callers)
--- a/internal/peer/bounds_test.go
+++ b/internal/peer/bounds_test.go
@@ -32,7 +32,7 @@
 	server := peer.NewServer(l, handler.Map{
 		"panic": handler.New(func(context.Context, struct{}) (int, error) { panic("malformed message") }),
 		"echo":  handler.New(func(context.Context, struct{}) (int, error) { return 1, nil }),
-	}, panics.New(logrus.NewEntry(log), metrics.NewSet(), func() { t.Error("the process was stopped") }))
+	}, peer.ServerConfig{Panics: panics.New(logrus.NewEntry(log), metrics.NewSet(), func() { t.Error("the process was stopped") })})
 	go server.Serve()
 	t.Cleanup(func() { server.Close() })
 }
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -67,7 +67,7 @@
 
 func newHarness(methods handler.Map) *harness {
 	l := newPipeListener()
-	h := &harness{listener: l, server: peer.NewServer(l, methods, nil), pool: peer.NewPool(peer.PoolConfig{Dial: l.dial})}
+	h := &harness{listener: l, server: peer.NewServer(l, methods, peer.ServerConfig{}), pool: peer.NewPool(peer.PoolConfig{Dial: l.dial})}
 	go h.server.Serve()
 	return h
 }
@@ -196,7 +196,7 @@
 		g := NewWithT(t)
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		g.Expect(err).NotTo(HaveOccurred())
-		server := peer.NewServer(l, handler.Map{"echo": handler.New(func(context.Context) (int, error) { return 1, nil })}, nil)
+		server := peer.NewServer(l, handler.Map{"echo": handler.New(func(context.Context) (int, error) { return 1, nil })}, peer.ServerConfig{})
 		served := make(chan error, 1)
 		go func() { served <- server.Serve() }()
 		pool := peer.NewPool(peer.PoolConfig{})
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -2,14 +2,18 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
+	"time"
 
 	"github.com/creachadair/jrpc2"
 	"github.com/creachadair/jrpc2/handler"
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
+	"github.com/medlarshunt/medlarshunt/internal/intake"
 	"github.com/medlarshunt/medlarshunt/internal/panics"
 )
 
@@ -19,19 +23,26 @@
 
 // Server answers calls of other nodes.
 type Server struct {
-	methods  handler.Map
-	panics   *panics.Handler
-	listener net.Listener
+	methods     handler.Map
+	listener    net.Listener
+	connections *intake.Connections
 
 	mu      sync.Mutex // guards conns and closed
-	conns   map[net.Conn]struct{}
+	conns   map[*serverConn]struct{}
 	closed  bool
 	serving sync.WaitGroup
 }
 
-// NewServer returns a server that answers on listener with the given handlers. A message whose handler panics is answered with
-// an error; a nil contain contains no panics.
-func NewServer(listener net.Listener, methods handler.Map, contain *panics.Handler) *Server {
+// ServerConfig holds the settings of a Server.
+type ServerConfig struct {
+	// Panics contains the panics of handlers, whose messages are answered with an error; nil contains none.
+	Panics *panics.Handler
+	// MaxConnections bounds the connections of other nodes; 0 sets no bound.
+	MaxConnections int
+}
+
+// NewServer returns a server that answers on listener with the given handlers.
+func NewServer(listener net.Listener, methods handler.Map, cfg ServerConfig) *Server {
 	all := handler.Map{
 		methodPing: handler.New(func(context.Context) (bool, error) { return true, nil }),
 		methodCancel: handler.New(func(ctx context.Context, p cancelParams) error {
@@ -43,9 +54,9 @@
 		all[name] = h
 	}
 	for name, h := range all {
-		all[name] = contained(name, h, contain)
+		all[name] = contained(name, h, cfg.Panics)
 	}
-	return &Server{methods: all, panics: contain, listener: listener, conns: map[net.Conn]struct{}{}}
+	return &Server{methods: all, listener: listener, connections: intake.NewConnections(cfg.MaxConnections), conns: map[*serverConn]struct{}{}}
 }
 
 var errHandlerPanicked = eris.New("internal error")
@@ -63,42 +74,84 @@
 	ID string `json:"id"`
 }
 
+// acceptRetryDelay is the pause after a connection could not be accepted, for example because the process has no descriptor left.
+const acceptRetryDelay = 50 * time.Millisecond
+
 // Serve accepts connections until Close is called.
 func (s *Server) Serve() error {
 	for {
 		conn, err := s.listener.Accept()
-		if err != nil {
-			if s.isClosed() {
-				return nil
-			}
+		switch {
+		case err == nil:
+			s.serveConn(conn)
+		case s.isClosed():
+			return nil
+		case errors.Is(err, net.ErrClosed):
 			return eris.Wrap(err, "accept peer connection")
+		default:
+			time.Sleep(acceptRetryDelay)
 		}
-		s.serveConn(conn)
 	}
 }
 
 // serveConn answers requests on a connection in the background until it ends.
-func (s *Server) serveConn(conn net.Conn) {
+func (s *Server) serveConn(accepted net.Conn) {
+	conn := &serverConn{Conn: accepted}
+	conn.lastMessage.Store(time.Now().UnixNano())
+	if !s.connections.Admit(conn) {
+		conn.Close()
+		return
+	}
 	srv := jrpc2.NewServer(s.methods, &jrpc2.ServerOptions{Concurrency: maxRequestsPerConnection})
 	s.mu.Lock()
 	if s.closed {
 		s.mu.Unlock()
 		conn.Close()
+		s.connections.Remove(conn)
 		return
 	}
 	s.conns[conn] = struct{}{}
 	s.serving.Add(1)
 	s.mu.Unlock()
-	srv.Start(newLineChannel(conn, writeTimeoutConn{conn}, checkRequest))
+	srv.Start(newLineChannel(conn, writeTimeoutConn{conn}, conn.checkMessage))
 	go func() {
 		defer s.serving.Done()
 		_ = srv.Wait() // why the connection ended does not matter
+		s.connections.Remove(conn)
 		s.mu.Lock()
 		delete(s.conns, conn)
 		s.mu.Unlock()
 	}()
 }
 
+// serverConn is a connection of another node.
+type serverConn struct {
+	net.Conn
+	served      atomic.Bool  // has had a message
+	lastMessage atomic.Int64 // Unix time in ns of the last message, or of the accept
+}
+
+// checkMessage checks a message and notes its arrival.
+func (c *serverConn) checkMessage(message []byte) error {
+	if err := checkRequest(message); err != nil {
+		return err
+	}
+	c.served.Store(true)
+	c.lastMessage.Store(time.Now().UnixNano())
+	return nil
+}
+
+// Standing implements intake.Client.
+func (c *serverConn) Standing() intake.Standing {
+	return intake.Standing{Served: c.served.Load(), Since: time.Unix(0, c.lastMessage.Load())}
+}
+
+// GiveWay implements intake.Client. Calls in progress fail as on a lost connection, and the peer connects again.
+func (c *serverConn) GiveWay() bool {
+	_ = c.Close() // the peer may have closed it already
+	return true
+}
+
 func (s *Server) isClosed() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/peer/silence_test.go
+++ b/internal/peer/silence_test.go
@@ -38,7 +38,7 @@
 			time.Sleep(2 * time.Second)
 			return 7, nil
 		}),
-	}, nil)
+	}, peer.ServerConfig{})
 	go d.server.Serve()
 	d.pool = peer.NewPool(peer.PoolConfig{Dial: d.network.Dialer("here"), Metrics: d.set})
 	return d
