Messages of other nodes together stay within the memory of the process

Cause: one message was bounded, the sum of all was not, and a connection was read without end while its calls were handled: each call waits in a goroutine of its own, also beyond the limit of handlers.

Change: a server reserves memory for the message that a connection sends, at four times its size, until the call has been answered or the notification handled. A connection whose messages take a sixteenth of the whole is read again later. When all is taken, unfinished messages that stalled give way, then the connection whose messages occupy most. A small message that is the only one of its connection is handled in any case, so ordinary nodes stay in touch. Unknown methods get a handler, so that their memory is given back; the answer is the same.

Why it works: what is reserved covers the line, its checked copy, the decoded parameters and the goroutines of the call.

Not bounded: the answers.

--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -41,6 +41,8 @@
 	connectionMemoryShare = 0.2
 	// peerMemoryShare is the fraction of Config.MemoryLimitBytes that connections of other nodes may occupy.
 	peerMemoryShare = 0.05
+	// messageMemoryShare is the fraction of Config.MemoryLimitBytes that messages of other nodes may occupy.
+	messageMemoryShare = 0.1
 	// auxMemoryShare is the fraction of Config.MemoryLimitBytes that requests at one of these addresses may occupy.
 	auxMemoryShare = 0.02
 )
@@ -76,7 +78,9 @@
 	s.ready = newAuxServer(cfg, deps.ReadyHandler(s.isReady), limit(auxSocketShare, auxMemoryShare))
 	s.metrics = newAuxServer(cfg, metricsHandler(deps.MetricsSet), limit(auxSocketShare, auxMemoryShare))
 	if deps.PeerListener != nil {
-		s.peerServer = peer.NewServer(deps.PeerListener, c.peerMethods(), peer.ServerConfig{Panics: deps.Panics, MaxConnections: limit(peerSocketShare, peerMemoryShare)})
+		s.peerServer = peer.NewServer(deps.PeerListener, c.peerMethods(), peer.ServerConfig{
+			Panics: deps.Panics, MaxConnections: limit(peerSocketShare, peerMemoryShare), MemoryBytes: int64(messageMemoryShare * float64(cfg.MemoryLimitBytes)),
+		})
 	}
 	return s
 }
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/creachadair/jrpc2"
-	"github.com/creachadair/jrpc2/channel"
 	"github.com/rotisserie/eris"
 )
 
@@ -34,9 +33,10 @@
 	reader *bufio.Reader
 	conn   io.WriteCloser
 	check  func([]byte) error
+	memory *incoming // of the messages received; nil sets no bound
 }
 
-func newLineChannel(r io.Reader, conn io.WriteCloser, check func([]byte) error) channel.Channel {
+func newLineChannel(r io.Reader, conn io.WriteCloser, check func([]byte) error) *lineChannel {
 	return &lineChannel{reader: bufio.NewReaderSize(r, readBufferBytes), conn: conn, check: check}
 }
 
@@ -78,17 +78,38 @@
 func (c *lineChannel) Send(message []byte) error {
 	line := make([]byte, 0, len(message)+1)
 	_, err := c.conn.Write(append(append(line, message...), '\n'))
+	if c.memory != nil { // a server sends one message for each call that it has handled
+		c.memory.release()
+	}
 	return err
 }
 
 // Recv implements channel.Channel.
 func (c *lineChannel) Recv() ([]byte, error) {
+	if c.memory == nil {
+		return c.readLine(func(int) error { return nil })
+	}
+	if err := c.memory.awaitRoom(); err != nil {
+		return nil, err
+	}
+	line, err := c.readLine(c.memory.grow)
+	if err == nil {
+		err = c.memory.accept(len(line))
+	}
+	return line, err
+}
+
+// readLine reads a line. grow is called with the size of what has been received, before it is kept.
+func (c *lineChannel) readLine(grow func(size int) error) ([]byte, error) {
 	var line []byte
 	for {
 		part, err := c.reader.ReadSlice('\n')
 		if len(line)+len(part) > maxMessageBytes {
 			return nil, errMessageTooLarge
 		}
+		if err := grow(len(line) + len(part)); err != nil {
+			return nil, err
+		}
 		line = append(line, part...)
 		switch {
 		case err == nil:
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -23,9 +23,11 @@
 
 // Server answers calls of other nodes.
 type Server struct {
-	methods     handler.Map
+	methods     jrpc2.Assigner
 	listener    net.Listener
 	connections *intake.Connections
+	budget      *intake.Budget
+	memory      int64 // capacity of budget
 
 	mu      sync.Mutex // guards conns and closed
 	conns   map[*serverConn]struct{}
@@ -39,6 +41,8 @@
 	Panics *panics.Handler
 	// MaxConnections bounds the connections of other nodes; 0 sets no bound.
 	MaxConnections int
+	// MemoryBytes bounds the memory of messages that are read and handled; 0 sets no bound.
+	MemoryBytes int64
 }
 
 // NewServer returns a server that answers on listener with the given handlers.
@@ -56,14 +60,42 @@
 	for name, h := range all {
 		all[name] = contained(name, h, cfg.Panics)
 	}
-	return &Server{methods: all, listener: listener, connections: intake.NewConnections(cfg.MaxConnections), conns: map[*serverConn]struct{}{}}
+	return &Server{
+		methods: assigner{methods: all, unknown: contained("unknown", unknownMethod, cfg.Panics)}, listener: listener, connections: intake.NewConnections(cfg.MaxConnections),
+		budget: intake.NewBudget(cfg.MemoryBytes, time.Now), memory: cfg.MemoryBytes, conns: map[*serverConn]struct{}{},
+	}
 }
 
 var errHandlerPanicked = eris.New("internal error")
 
-// contained returns a handler that answers with an error when h panics.
+// assigner finds the handler of each message, also of those with an unknown method: a handler that ends is what gives back the memory
+// of a notification.
+type assigner struct {
+	methods handler.Map
+	unknown jrpc2.Handler
+}
+
+// Assign implements jrpc2.Assigner.
+func (a assigner) Assign(ctx context.Context, method string) jrpc2.Handler {
+	if h := a.methods.Assign(ctx, method); h != nil {
+		return h
+	}
+	return a.unknown
+}
+
+func unknownMethod(_ context.Context, req *jrpc2.Request) (any, error) {
+	return nil, jrpc2.Errorf(jrpc2.MethodNotFound, "no such method %q", req.Method())
+}
+
+type incomingKey struct{}
+
+// contained returns a handler that answers with an error when h panics, and gives back the memory of a notification, which has no
+// answer.
 func contained(method string, h jrpc2.Handler, contain *panics.Handler) jrpc2.Handler {
 	return func(ctx context.Context, req *jrpc2.Request) (result any, err error) {
+		if memory, ok := ctx.Value(incomingKey{}).(*incoming); ok && req.IsNotification() {
+			defer memory.release()
+		}
 		defer contain.Contain("peer message", logrus.Fields{"method": method}, func() { result, err = nil, errHandlerPanicked })
 		return h(ctx, req)
 	}
@@ -96,13 +128,15 @@
 
 // serveConn answers requests on a connection in the background until it ends.
 func (s *Server) serveConn(accepted net.Conn) {
-	conn := &serverConn{Conn: accepted}
-	conn.lastMessage.Store(time.Now().UnixNano())
+	conn := newServerConn(accepted, s)
 	if !s.connections.Admit(conn) {
 		conn.Close()
 		return
 	}
-	srv := jrpc2.NewServer(s.methods, &jrpc2.ServerOptions{Concurrency: maxRequestsPerConnection})
+	srv := jrpc2.NewServer(s.methods, &jrpc2.ServerOptions{
+		Concurrency: maxRequestsPerConnection,
+		NewContext:  func() context.Context { return context.WithValue(context.Background(), incomingKey{}, conn.memory) },
+	})
 	s.mu.Lock()
 	if s.closed {
 		s.mu.Unlock()
@@ -113,10 +147,13 @@
 	s.conns[conn] = struct{}{}
 	s.serving.Add(1)
 	s.mu.Unlock()
-	srv.Start(newLineChannel(conn, writeTimeoutConn{conn}, conn.checkMessage))
+	messages := newLineChannel(conn, writeTimeoutConn{conn}, conn.checkMessage)
+	messages.memory = conn.memory
+	srv.Start(messages)
 	go func() {
 		defer s.serving.Done()
 		_ = srv.Wait() // why the connection ended does not matter
+		conn.memory.releaseAll()
 		s.connections.Remove(conn)
 		s.mu.Lock()
 		delete(s.conns, conn)
@@ -127,8 +164,44 @@
 // serverConn is a connection of another node.
 type serverConn struct {
 	net.Conn
+	memory      *incoming
 	served      atomic.Bool  // has had a message
 	lastMessage atomic.Int64 // Unix time in ns of the last message, or of the accept
+	closeOnce   sync.Once
+}
+
+func newServerConn(accepted net.Conn, s *Server) *serverConn {
+	c := &serverConn{Conn: accepted}
+	c.lastMessage.Store(time.Now().UnixNano())
+	c.memory = &incoming{
+		budget: s.budget, limit: int(pendingShare * float64(s.memory)), closed: make(chan struct{}), room: make(chan struct{}, 1),
+		close: func() { c.Close() }, shed: func(cost int) bool { return s.closeLargest(cost) },
+	}
+	return c
+}
+
+// Close implements net.Conn.
+func (c *serverConn) Close() error {
+	c.closeOnce.Do(func() { close(c.memory.closed) })
+	return c.Conn.Close()
+}
+
+// closeLargest closes the connection whose messages occupy most, if that is more than cost, and reports whether there was one. The
+// calls on it fail as on a lost connection.
+func (s *Server) closeLargest(cost int) bool {
+	s.mu.Lock()
+	var largest *serverConn
+	for conn := range s.conns {
+		if held := conn.memory.pendingCost(); held > cost {
+			largest, cost = conn, held
+		}
+	}
+	s.mu.Unlock()
+	if largest == nil {
+		return false
+	}
+	_ = largest.Close() // the peer may have closed it already
+	return true
 }
 
 // checkMessage checks a message and notes its arrival.
