A node's listeners are bounded like those of "serve"

Callers saw nodes end: at a node's callers' and administrators' addresses, 150 clients with unfinished or endless heads took 252 to 2190 MB of a process with 96 MB, unfinished bodies 103 to 366 MB, unfinished messages at its peers' address 661 MB; 400 idle connections at each took 411 to 413 sockets where 300 are allowed (TestCrowdsAtANode, red before this change).

Cause: as at "serve"; besides, these servers had the default of 1 MB a head, no setting stated the memory of a node, and a body had no limit of time.

Guards on both HTTP listeners, under TLS where there is TLS, and the bounds of the peers' server follow from them. Bodies are read until the time budget of the request, at the administrators' address for 30 s; one for which there is no memory is refused as overloaded, not run.

--- a/cmd/medlarshunt/node.go
+++ b/cmd/medlarshunt/node.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"errors"
+	"math"
 	"net"
 	"net/url"
 	"os"
@@ -105,6 +106,10 @@
 func nodeConfig(s settings.Settings, peers net.Addr) node.Config {
 	cfg := node.Config{
 		ID: s.NodeID, Domain: s.Domain, Region: s.Region, Ordinal: s.Ordinal, Seeds: s.Seeds, Advertise: s.PeerAdvertise, GracePeriod: s.Grace,
+		MemoryLimitBytes: int64(s.MemoryMB) << 20, MaxFDs: s.MaxFDs,
+	}
+	if cfg.MaxFDs == 0 {
+		cfg.MaxFDs = processMaxFDs()
 	}
 	if _, port, err := net.SplitHostPort(s.PeerAdvertise); err == nil && port == "0" {
 		cfg.Advertise = peers.String()
@@ -115,6 +120,15 @@
 	return cfg
 }
 
+// processMaxFDs returns the number of descriptors that the system lets the process open, or 0 when it is not known.
+func processMaxFDs() int {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil || limit.Cur > math.MaxInt32 {
+		return 0
+	}
+	return int(limit.Cur)
+}
+
 // nodeDeps opens the listeners and creates the trace exporter and the platform client. The returned function reloads the
 // TLS certificates and keys.
 func nodeDeps(ctx context.Context, s settings.Settings, log *logrus.Logger) (node.Deps, func() error, error) {
@@ -184,7 +198,7 @@
 			return nil, err
 		}
 		reloaders = append(reloaders, h)
-		deps.CallerListener = tls.NewListener(deps.CallerListener, h.CallerConfig())
+		deps.WrapCallers = func(l net.Listener) net.Listener { return tls.NewListener(l, h.CallerConfig()) }
 	}
 	if s.PeerTLS.Enabled() {
 		h, err := settings.NewTLSReloader(s.PeerTLS, s.PeerServerName)
--- a/internal/admin/respond.go
+++ b/internal/admin/respond.go
@@ -1,7 +1,6 @@
 package admin
 
 import (
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -30,16 +29,12 @@
 	s.writeError(c, &api.Error{Code: api.CodeInternal, Message: "internal error; see the log of the node", Outcome: api.OutcomeUnknown})
 }
 
+// bodyTimeout bounds the reading of a body.
+const bodyTimeout = 30 * time.Second
+
 // readBody reads the body and refuses one that is longer than limit bytes.
 func readBody(c *gin.Context, limit int64) ([]byte, *api.Error) {
-	data, err := io.ReadAll(io.LimitReader(c.Request.Body, limit+1))
-	switch {
-	case err != nil:
-		return nil, api.NewRefusal(api.CodeMalformed, "body", "the body could not be read; send it again")
-	case int64(len(data)) > limit:
-		return nil, api.NewRefusal(api.CodeTooLarge, "body", "the body is longer than "+strconv.FormatInt(limit, 10)+" bytes")
-	}
-	return data, nil
+	return entry.ReadBody(c, limit, time.Now().Add(bodyTimeout))
 }
 
 func (s *Server) handleReadyz(c *gin.Context) {
--- a/internal/entry/decode.go
+++ b/internal/entry/decode.go
@@ -5,24 +5,33 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"strconv"
+	"time"
 
-	"github.com/rotisserie/eris"
+	"github.com/gin-gonic/gin"
 
 	"github.com/medlarshunt/medlarshunt/internal/api"
+	"github.com/medlarshunt/medlarshunt/internal/intake"
 )
 
-var errBodyTooLarge = eris.New("body is too large")
+// crowdedRetryAfter is sent with the refusal of a body for which there is no memory.
+const crowdedRetryAfter = time.Second
 
-// readLimited reads the whole body. It returns errBodyTooLarge if the body is longer than limit bytes.
-func readLimited(body io.Reader, limit int64) ([]byte, error) {
-	data, err := io.ReadAll(io.LimitReader(body, limit+1))
-	if err != nil {
-		return nil, eris.Wrap(err, "read body")
+// ReadBody reads the body of a request of at most limit bytes until the deadline.
+func ReadBody(c *gin.Context, limit int64, deadline time.Time) ([]byte, *api.Error) {
+	body, err := intake.ReadBody(c.Writer, c.Request, limit, deadline, intake.AccountOf(c.Request.Context()))
+	switch {
+	case err == nil:
+		return body, nil
+	case errors.Is(err, intake.ErrBodyTooLarge):
+		return nil, api.NewRefusal(api.CodeTooLarge, "body", "the body is longer than "+strconv.FormatInt(limit, 10)+" bytes")
+	case errors.Is(err, intake.ErrTooSlow):
+		return nil, api.NewRefusal(api.CodeNoTimeLeft, "body", "the body did not arrive in time")
+	case errors.Is(err, intake.ErrExhausted), errors.Is(err, intake.ErrEvicted):
+		return nil, api.NewRefusal(api.CodeOverloaded, "body", err.Error()).WithRetryAfter(crowdedRetryAfter)
+	default:
+		return nil, api.NewRefusal(api.CodeMalformed, "body", "the body could not be read; send it again")
 	}
-	if int64(len(data)) > limit {
-		return nil, errBodyTooLarge
-	}
-	return data, nil
 }
 
 // DecodeStrict decodes exactly one JSON object. It rejects unknown fields, which are often misspelt known ones.
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -103,7 +103,7 @@
 	if r.budget, refusal = TimeBudget(c.GetHeader(HeaderTimeout), group); refusal != nil {
 		return nil, refusal
 	}
-	r.body, refusal = readBody(c, group)
+	r.body, refusal = readBody(c, group, r.start.Add(r.budget))
 	return r, refusal
 }
 
@@ -146,19 +146,12 @@
 	return budget, nil
 }
 
-func readBody(c *gin.Context, g *config.Group) ([]byte, *api.Error) {
+func readBody(c *gin.Context, g *config.Group, deadline time.Time) ([]byte, *api.Error) {
 	limit := g.MaxBodyBytes
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
 	}
-	body, err := readLimited(c.Request.Body, limit)
-	switch {
-	case err == errBodyTooLarge:
-		return nil, api.NewRefusal(api.CodeTooLarge, "body", "the body is longer than "+strconv.FormatInt(limit, 10)+" bytes")
-	case err != nil:
-		return nil, api.NewRefusal(api.CodeMalformed, "body", "the body could not be read")
-	}
-	return body, nil
+	return ReadBody(c, limit, deadline)
 }
 
 func (e *Entry) handleSearch(c *gin.Context) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -35,6 +35,9 @@
 	Heartbeat   time.Duration // heartbeat interval; if 0 or less, the default of package membership
 	RandomSeed  uint64        // if 0, a random one
 	Baseline    bool          // see relay.Config
+	// MemoryLimitBytes and MaxFDs are what the process may use; the bounds on clients follow from them. 0 sets no bound.
+	MemoryLimitBytes int64
+	MaxFDs           int
 }
 
 // Deps holds the external dependencies of a node: listeners, dialers and telemetry. Tests and the demo replace them.
@@ -43,12 +46,14 @@
 	PeerListener   net.Listener
 	AdminListener  net.Listener // administration API and metrics; nil for none
 	ConfigService  configservice.Source
-	DialPeer       peer.DialFunc // nil dials TCP
-	DialTarget     relay.Dialer  // nil dials HTTP/2 cleartext
-	Log            *logrus.Logger
-	Tracing        *telemetry.Tracing
-	Metrics        *metrics.Set
-	Panics         *panics.Handler // nil contains no panics
+	// WrapCallers wraps the listener for callers in TLS; nil leaves it in clear text.
+	WrapCallers func(net.Listener) net.Listener
+	DialPeer    peer.DialFunc // nil dials TCP
+	DialTarget  relay.Dialer  // nil dials HTTP/2 cleartext
+	Log         *logrus.Logger
+	Tracing     *telemetry.Tracing
+	Metrics     *metrics.Set
+	Panics      *panics.Handler // nil contains no panics
 }
 
 // defaultGrace is the longest wait for requests in flight during shutdown when the settings name none.
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
+	"runtime/debug"
 	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
 
+	"github.com/medlarshunt/medlarshunt/internal/intake"
 	"github.com/medlarshunt/medlarshunt/internal/peer"
 	"github.com/medlarshunt/medlarshunt/internal/statechart"
 )
@@ -20,6 +23,8 @@
 	callers *http.Server
 	admin   *http.Server
 	wg      sync.WaitGroup
+
+	callerListener, adminListener net.Listener // nil without the server
 }
 
 const (
@@ -33,13 +38,22 @@
 func newServers(cfg Config, deps Deps, c *core) *servers {
 	s := &servers{cfg: cfg, core: c}
 	methods := &peerMethods{lifecycle: c.lifecycle, entry: c.entry, relay: c.relay, members: c.members, config: c.syncer}
-	s.peers = peer.NewServer(deps.PeerListener, methods.handlers(), peer.ServerConfig{Panics: deps.Panics})
+	s.peers = newPeerServer(cfg, deps, methods)
 	if deps.CallerListener != nil {
-		s.callers = &http.Server{Handler: c.entry.Handler(), ReadHeaderTimeout: readHeaderTimeout}
+		var guard *intake.Guard
+		s.callers, guard = newHTTPServer(cfg, c.entry.Handler(), callerSocketShare)
 		closeUnusedAtShutdown(s.callers)
+		guard.Protect(s.callers)
+		s.callerListener = listen(guard, deps.CallerListener, deps.WrapCallers)
 	}
 	if deps.AdminListener != nil {
-		s.admin = &http.Server{Handler: adminHandler(c), ReadHeaderTimeout: readHeaderTimeout}
+		var guard *intake.Guard
+		s.admin, guard = newHTTPServer(cfg, adminHandler(c), adminSocketShare)
+		guard.Protect(s.admin)
+		s.adminListener = listen(guard, deps.AdminListener, nil)
+	}
+	if cfg.MemoryLimitBytes > 0 {
+		debug.SetMemoryLimit(int64(memoryLimitShare * float64(cfg.MemoryLimitBytes)))
 	}
 	return s
 }
@@ -51,10 +65,10 @@
 		}
 	})
 	if s.callers != nil {
-		s.wg.Go(func() { serveHTTP(s.callers, s.core.deps.CallerListener, s.core.log) })
+		s.wg.Go(func() { serveHTTP(s.callers, s.callerListener, s.core.log) })
 	}
 	if s.admin != nil {
-		s.wg.Go(func() { serveHTTP(s.admin, s.core.deps.AdminListener, s.core.log) })
+		s.wg.Go(func() { serveHTTP(s.admin, s.adminListener, s.core.log) })
 	}
 	return nil
 }
--- a/internal/settings/flags.go
+++ b/internal/settings/flags.go
@@ -49,6 +49,10 @@
 		stringFlag("peer-tls-name", d.PeerServerName, &s.PeerServerName, "DNS name that the certificate of each node carries"),
 		&cli.DurationFlag{Name: "grace", Value: d.Grace, Destination: &s.Grace, Sources: envSource("grace"),
 			Usage: "time for requests in flight at a stop, with its unit; at least the longest time budget of a group"},
+		&cli.IntFlag{Name: "memory-mb", Value: d.MemoryMB, Destination: &s.MemoryMB, Sources: envSource("memory-mb"),
+			Usage: "memory of the node in MB, at least 64, from which the bounds on clients follow; 0 sets none"},
+		&cli.IntFlag{Name: "max-fds", Value: d.MaxFDs, Destination: &s.MaxFDs, Sources: envSource("max-fds"),
+			Usage: "descriptors that the node may open, at least 300, from which the bounds on connections follow; 0 takes the limit of the process"},
 	}
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -41,6 +41,8 @@
 	PeerTLS        TLSMaterial
 	PeerServerName string
 	Grace          time.Duration
+	MemoryMB       int // 0 when the node's memory is not known
+	MaxFDs         int // 0 for the limit of the process
 }
 
 const (
@@ -52,6 +54,10 @@
 	// defaultGrace is longer than the default maximum time budget of a coverage-first group, 10 s.
 	defaultGrace = 20 * time.Second
 	maxGrace     = 10 * time.Minute
+
+	defaultMemoryMB = 512
+	minMemoryMB     = 64
+	minFDs          = 300
 )
 
 // Default returns the settings that apply where neither a flag nor an environment variable is set.
@@ -66,6 +72,7 @@
 		TraceExporter:  TraceOff,
 		PeerServerName: "medlarshunt-peer",
 		Grace:          defaultGrace,
+		MemoryMB:       defaultMemoryMB,
 	}
 }
 
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -67,6 +67,7 @@
 	Entry("host names", func(s *settings.Settings) { s.Seeds = []string{"node:1"}; s.PlatformURLs = []string{"platform:7000"} },
 		"seed", "platform-url"),
 	Entry("unknown role", func(s *settings.Settings) { s.Roles = []string{"entry", "store"} }, "roles"),
+	Entry("too little memory and too few descriptors", func(s *settings.Settings) { s.MemoryMB, s.MaxFDs = 10, -1 }, "memory-mb", "max-fds"),
 	Entry("key without certificate", func(s *settings.Settings) { s.CallerTLS.Key = "/nonexistent" }, "caller-tls-cert", "caller-tls-key"),
 	Entry("no PEM", func(s *settings.Settings) {
 		s.PeerTLS = settings.TLSMaterial{Cert: "-----BEGIN x", Key: "-----BEGIN x", CA: "-----BEGIN x"}
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -60,6 +60,12 @@
 	if s.Grace < time.Second || s.Grace > maxGrace {
 		v.addFault("grace", fmt.Sprintf("use 1s to %s", maxGrace), "%s is out of range", s.Grace)
 	}
+	if s.MemoryMB != 0 && s.MemoryMB < minMemoryMB {
+		v.addFault("memory-mb", fmt.Sprintf("use %d or more, or 0", minMemoryMB), "%d is too little", s.MemoryMB)
+	}
+	if s.MaxFDs != 0 && s.MaxFDs < minFDs {
+		v.addFault("max-fds", fmt.Sprintf("use %d or more, or 0", minFDs), "%d is too little", s.MaxFDs)
+	}
 	v.checkTLS("caller-tls", s.CallerTLS, false)
 	v.checkTLS("peer-tls", s.PeerTLS, true)
 	if s.PeerTLS.Enabled() && s.PeerServerName == "" {
--- a/test/e2e/crowd_test.go
+++ b/test/e2e/crowd_test.go
@@ -98,6 +98,7 @@
 				g.Expect(sockets).To(BeNumerically("<=", c.fds-crowd.ReservedFDs), "open sockets")
 				g.Expect(memory).To(BeNumerically("<=", crowdMemoryMB), "peak memory in MB")
 			}
+			t.Logf("peak memory %.0f MB", crowd.PeakMemoryMB(t, m.cmd.Process.Pid))
 		})
 		d.nodes[len(d.nodes)-1].kill()
 	}
