A request whose body is not read is answered, and doesn't hold its connection

Cause: net/http reads the rest of a body before it answers, or waits for the next request, and these servers set no deadline.

Change: the guard sets one when a request with a body begins, 10 s, and 1 s for the rest after the handler has returned. Reading a body with intake.ReadBody replaces it.

--- a/internal/intake/guard.go
+++ b/internal/intake/guard.go
@@ -15,10 +15,18 @@
 	MaxHeadBytes func() int
 	// MaxConnections bounds the open connections; 0 sets no bound.
 	MaxConnections int
+	// BodyTimeout bounds the reading of a body that the handler does not read with ReadBody; 0 means defaultBodyTimeout.
+	BodyTimeout time.Duration
 	// Refuse answers a request for which there is no memory. The request has not run. nil answers 503.
 	Refuse http.Handler
 }
 
+const (
+	defaultBodyTimeout = 10 * time.Second
+	// discardTimeout bounds how long the rest of a body is awaited after the request has been answered.
+	discardTimeout = time.Second
+)
+
 // Guard bounds what the clients of one HTTP server occupy.
 type Guard struct {
 	cfg         Config
@@ -33,6 +41,9 @@
 	if cfg.MaxHeadBytes == nil {
 		cfg.MaxHeadBytes = func() int { return 0 }
 	}
+	if cfg.BodyTimeout <= 0 {
+		cfg.BodyTimeout = defaultBodyTimeout
+	}
 	if cfg.Refuse == nil {
 		cfg.Refuse = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) })
 	}
@@ -79,6 +90,10 @@
 	if conn != nil {
 		defer conn.endRequest()
 	}
+	if r.ContentLength != 0 {
+		g.limitBody(w, account, g.cfg.BodyTimeout)
+		defer g.limitBody(w, account, discardTimeout)
+	}
 	err := account.ReserveUpTo(headCost(headSize(r)))
 	if err == nil && r.ContentLength == 0 {
 		err = account.Complete()
@@ -91,6 +106,14 @@
 	handler.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), accountKey{}, account)))
 }
 
+// limitBody bounds the reading of what is left of a body. The server reads it to its end before it answers, or waits for the next
+// request, also when the handler does not.
+func (g *Guard) limitBody(w http.ResponseWriter, account *Account, timeout time.Duration) {
+	if account.isIncomplete() {
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(timeout)) // an error means that the client has disconnected
+	}
+}
+
 // begin returns the account of a request whose head has been read, and reports whether the request may be handled.
 func (g *Guard) begin(conn *conn, w http.ResponseWriter) (*Account, bool) {
 	if conn != nil {
--- a/internal/intake/guard_test.go
+++ b/internal/intake/guard_test.go
@@ -109,3 +109,24 @@
 		g.Eventually(g.budget.Used).Should(BeZero())
 	}
 }
+
+// Guards against a connection that is held for good by a request whose body is neither read nor finished.
+func TestUnreadBodyDoesNotHoldTheConnection(t *testing.T) {
+	g := NewWithT(t)
+	guard := intake.NewGuard(intake.Config{BodyTimeout: 100 * time.Millisecond})
+	server := &http.Server{ReadHeaderTimeout: time.Minute, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusUnauthorized) })}
+	guard.Protect(server)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	go func() { _ = server.Serve(guard.Listen(l)) }()
+	t.Cleanup(func() { server.Close() })
+	test := &guardTest{WithT: g, address: l.Addr().String()}
+	for _, head := range []string{"Content-Length: 1000\r\n\r\nb", "Transfer-Encoding: chunked\r\n\r\n1\r\nb"} {
+		c, r := test.dial(t)
+		fmt.Fprint(c, "POST / HTTP/1.1\r\nHost: h\r\n"+head)
+		test.expectStatus(r, http.StatusUnauthorized)
+		_, err = r.ReadByte()
+		g.Expect(err).To(HaveOccurred())
+		g.Eventually(guard.OpenConnections, "10s").Should(BeZero())
+	}
+}
