An answer that its client does not read is given up

Callers saw refusals for want of memory: a client that sends requests and reads no answer kept its connection, its request and its answer for good, since nothing bounded the writing (TestAnswerThatIsNotReadEnds: without the change the handler does not return in 20 s; with it, green).

Change: the guard writes answers in steps of 64 KB and closes the connection when the client takes nothing for 15 s, at a node for 30 s. A client that reads slowly gets its answer.

--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -25,6 +25,8 @@
 	acceptTime = 3200 * time.Millisecond
 	// stopMargin is the part of the grace period that is reserved for the exit of the process.
 	stopMargin = 500 * time.Millisecond
+	// answerTimeout bounds how long a caller may take none of an answer. It is longer than callers wait.
+	answerTimeout = 15 * time.Second
 	// auxRequestTimeout bounds the reading of a request at the readiness and metrics addresses, auxAnswerTimeout the sending of its
 	// answer, and auxIdleTimeout the time between two requests on a connection.
 	auxRequestTimeout = 2 * time.Second
@@ -67,7 +69,8 @@
 	budget := intake.NewBudget(int64(requestMemoryShare*float64(cfg.MemoryLimitBytes)), time.Now)
 	deps.MetricsSet.NewGauge("medlarshunt_request_memory_bytes", func() float64 { return float64(budget.Used()) })
 	guard := intake.NewGuard(intake.Config{
-		Budget: budget, MaxHeadBytes: c.maxHeadBytes, MaxConnections: limit(callerSocketShare, connectionMemoryShare), Refuse: deps.CrowdedHandler,
+		Budget: budget, MaxHeadBytes: c.maxHeadBytes, MaxConnections: limit(callerSocketShare, connectionMemoryShare),
+		WriteTimeout: answerTimeout, Refuse: deps.CrowdedHandler,
 	})
 	deps.MetricsSet.NewGauge("medlarshunt_caller_connections", func() float64 { return float64(guard.OpenConnections()) })
 	s.callerServer = callerserver.NewServer(callerserver.Config{
--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -78,6 +78,28 @@
 	return n, err
 }
 
+// writeStep is the part of an answer that a client must take within Config.WriteTimeout.
+const writeStep = 64 << 10
+
+// Write implements net.Conn. It fails when the client takes nothing for Config.WriteTimeout.
+func (c *conn) Write(p []byte) (written int, err error) {
+	timeout := c.guard.cfg.WriteTimeout
+	if timeout <= 0 {
+		return c.Conn.Write(p)
+	}
+	for {
+		step := p[written:min(written+writeStep, len(p))]
+		if err := c.Conn.SetWriteDeadline(time.Now().Add(timeout)); err != nil {
+			return written, err
+		}
+		n, err := c.Conn.Write(step)
+		written += n
+		if err != nil || written == len(p) {
+			return written, err
+		}
+	}
+}
+
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	c.mu.Lock()
--- a/internal/intake/guard.go
+++ b/internal/intake/guard.go
@@ -17,6 +17,8 @@
 	MaxConnections int
 	// BodyTimeout bounds the reading of a body that the handler does not read with ReadBody; 0 means defaultBodyTimeout.
 	BodyTimeout time.Duration
+	// WriteTimeout bounds how long the client may take none of an answer; 0 sets no bound.
+	WriteTimeout time.Duration
 	// Refuse answers a request for which there is no memory. The request has not run. nil answers 503.
 	Refuse http.Handler
 }
--- a/internal/intake/guard_test.go
+++ b/internal/intake/guard_test.go
@@ -130,3 +130,38 @@
 		g.Eventually(guard.OpenConnections, "10s").Should(BeZero())
 	}
 }
+
+// Guards against a client that reads no answer and holds the memory of the request and its answer for good, and against one that
+// reads slowly and is cut off.
+func TestAnswerThatIsNotReadEnds(t *testing.T) {
+	g := NewWithT(t)
+	ended := make(chan error, 1)
+	answer := strings.Repeat("a", 16<<20)
+	guard := intake.NewGuard(intake.Config{WriteTimeout: 500 * time.Millisecond})
+	server := &http.Server{ReadHeaderTimeout: time.Minute, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, err := io.WriteString(w, answer)
+		ended <- err
+	})}
+	guard.Protect(server)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	go func() { _ = server.Serve(guard.Listen(l)) }()
+	t.Cleanup(func() { server.Close() })
+	test := &guardTest{WithT: g, address: l.Addr().String()}
+
+	c, _ := test.dial(t)
+	fmt.Fprint(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	g.Eventually(ended, "20s").Should(Receive(HaveOccurred()))
+
+	slow, r := test.dial(t)
+	fmt.Fprint(slow, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	resp, err := http.ReadResponse(r, nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	for received := int64(0); received < int64(len(answer)); {
+		time.Sleep(50 * time.Millisecond)
+		n, err := io.CopyN(io.Discard, resp.Body, int64(len(answer))/16)
+		g.Expect(err).NotTo(HaveOccurred())
+		received += n
+	}
+	g.Eventually(ended, "20s").Should(Receive(BeNil()))
+}
--- a/internal/node/bounds.go
+++ b/internal/node/bounds.go
@@ -26,6 +26,8 @@
 	callerSocketShare = 0.5
 	peerSocketShare   = 0.125
 	adminSocketShare  = 0.05
+	// answerTimeout bounds how long a client may take none of an answer.
+	answerTimeout = 30 * time.Second
 	// maxHeadBytes bounds the head of a request.
 	maxHeadBytes = 64 << 10
 )
@@ -36,6 +38,7 @@
 		Budget:         intake.NewBudget(int64(requestMemoryShare*float64(cfg.MemoryLimitBytes)), time.Now),
 		MaxHeadBytes:   func() int { return maxHeadBytes },
 		MaxConnections: intake.ConnectionLimit(cfg.MaxFDs, cfg.MemoryLimitBytes, socketShare, connectionMemoryShare),
+		WriteTimeout:   answerTimeout,
 	})
 	return &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeadBytes}, guard
 }
