Soak: clients that do not behave, and statuses that are none

A fourth injector, after the others so that the kept seeds play the same faults, has a crowd of 60 clients at one listener of a node for up to 1.7 s, or a target that answers with the status 000, 101 or 999. The nodes have the limits of a small machine, 184 MB, and the run checks their peak memory.

--- a/test/crowd/crowd.go
+++ b/test/crowd/crowd.go
@@ -38,12 +38,24 @@
 func Start(t testing.TB, address string, size int, behave Behaviour) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
-	var done, sent sync.WaitGroup
-	t.Cleanup(func() { cancel(); done.Wait() })
+	var sent sync.WaitGroup
 	sent.Add(size)
+	done := run(ctx, address, size, behave, sent.Done)
+	t.Cleanup(func() { cancel(); done.Wait() })
+	sent.Wait()
+}
+
+// Run runs a crowd of the given size until ctx ends.
+func Run(ctx context.Context, address string, size int, behave Behaviour) {
+	run(ctx, address, size, behave, func() {}).Wait()
+}
+
+// run starts a crowd. sent is called when a member has sent what it sends, or was cut off, for the first time.
+func run(ctx context.Context, address string, size int, behave Behaviour, sent func()) *sync.WaitGroup {
+	var done sync.WaitGroup
 	for n := range size {
 		done.Go(func() {
-			sentOnce := sync.OnceFunc(sent.Done)
+			sentOnce := sync.OnceFunc(sent)
 			defer sentOnce()
 			for range rounds {
 				connect(ctx, address, func(w io.Writer) { behave(w, n) }, sentOnce)
@@ -51,7 +63,7 @@
 			<-ctx.Done()
 		})
 	}
-	sent.Wait()
+	return &done
 }
 
 // connect opens a connection, sends on it and returns when the server has closed it or ctx has ended.
--- a/test/platform/crowd_test.go
+++ b/test/platform/crowd_test.go
@@ -204,20 +204,22 @@
 	t.Run("piece by piece", func(t *testing.T) { expectCrowdBorne(t, crowdLimits, frontAddress, bodyCrowd, send(1000)) })
 }
 
-// Guards against chunked bodies of legal size, in large or very small chunks, most of which lack their last chunk.
-func TestCrowdOfChunkedBodies(t *testing.T) {
-	send := func(chunkBytes int) crowd.Behaviour {
-		chunk := []byte(fmt.Sprintf("%x\r\n%s\r\n", chunkBytes, strings.Repeat("c", chunkBytes)))
-		body := bytes.Repeat(chunk, crowdBodyBytes/chunkBytes)
-		return func(w io.Writer, n int) {
-			crowd.Write(w, []byte(requestLines+requestID(n)+"Transfer-Encoding: chunked\r\n\r\n"), body)
-			if n%10 == 0 {
-				crowd.Write(w, []byte("0\r\n\r\n"))
-			}
+// chunkedBody sends a chunked body of legal size. Only a tenth of the members send the last chunk.
+func chunkedBody(chunkBytes int) crowd.Behaviour {
+	chunk := []byte(fmt.Sprintf("%x\r\n%s\r\n", chunkBytes, strings.Repeat("c", chunkBytes)))
+	body := bytes.Repeat(chunk, crowdBodyBytes/chunkBytes)
+	return func(w io.Writer, n int) {
+		crowd.Write(w, []byte(requestLines+requestID(n)+"Transfer-Encoding: chunked\r\n\r\n"), body)
+		if n%10 == 0 {
+			crowd.Write(w, []byte("0\r\n\r\n"))
 		}
 	}
-	t.Run("large chunks", func(t *testing.T) { expectCrowdBorne(t, crowdLimits, frontAddress, bodyCrowd, send(64<<10)) })
-	t.Run("small chunks", func(t *testing.T) { expectCrowdBorne(t, crowdLimits, frontAddress, bodyCrowd, send(8)) })
+}
+
+// Guards against chunked bodies of legal size, in large or very small chunks, most of which lack their last chunk.
+func TestCrowdOfChunkedBodies(t *testing.T) {
+	t.Run("large chunks", func(t *testing.T) { expectCrowdBorne(t, crowdLimits, frontAddress, bodyCrowd, chunkedBody(64<<10)) })
+	t.Run("small chunks", func(t *testing.T) { expectCrowdBorne(t, crowdLimits, frontAddress, bodyCrowd, chunkedBody(8)) })
 }
 
 // Guards against messages of other nodes that are never finished.
@@ -265,15 +267,18 @@
 	}
 }
 
+// unfinishedBody sends a body of the largest legal size but its last byte.
+func unfinishedBody(w io.Writer, n int) {
+	head := []byte(requestLines + requestID(n) + fmt.Sprintf("Content-Length: %d\r\n\r\n", crowdBodyBytes))
+	crowd.Write(w, head, bytes.Repeat([]byte("b"), crowdBodyBytes-1))
+}
+
 // Guards against crowds that are each bearable and not together.
 func TestCrowdsAtAllListeners(t *testing.T) {
 	s := newLimitedDeployment(t, 1, crowdLimits)
 	p := s.nodes[0]
 	s.expectOrdinaryAnswers(p)
-	body := bytes.Repeat([]byte("b"), crowdBodyBytes-1)
-	crowd.Start(t, p.frontAddress, bodyCrowd/2, func(w io.Writer, n int) {
-		crowd.Write(w, []byte(requestLines+requestID(n)+fmt.Sprintf("Content-Length: %d\r\n\r\n", crowdBodyBytes)), body)
-	})
+	crowd.Start(t, p.frontAddress, bodyCrowd/2, unfinishedBody)
 	crowd.Start(t, p.frontAddress, headCrowd/2, unfinishedHead(crowdHeaderBytes))
 	crowd.Start(t, p.readyAddress, auxCrowd/2, endlessLines)
 	crowd.Start(t, p.metricsAddress, auxCrowd/2, endlessLine)
--- a/test/platform/soak_test.go
+++ b/test/platform/soak_test.go
@@ -1,6 +1,7 @@
 package platform_test
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"maps"
@@ -21,6 +22,7 @@
 
 	"github.com/medlarshunt/medlarshunt/internal/standin/kvsim"
 	"github.com/medlarshunt/medlarshunt/internal/standin/shardsim"
+	"github.com/medlarshunt/medlarshunt/test/crowd"
 )
 
 // The soak test runs the built program as separate processes and injects faults from outside: through proxies in front of
@@ -33,8 +35,12 @@
 // runs seeds 1 to 50. MEDLARSHUNT_SOAK_SEED=N runs one seed. MEDLARSHUNT_SOAK_NODES and MEDLARSHUNT_SOAK_SECONDS set the
 // number of nodes and the duration of each run.
 
+// soakLimits are those of a small machine.
+var soakLimits = processLimits{memoryMB: 184, maxFDs: 4100}
+
 const (
 	soakNodes   = 3
+	soakCrowd   = 60
 	soakSeconds = 6
 	soakCallers = 6
 	soakPause   = 15 * time.Millisecond
@@ -129,7 +135,7 @@
 
 func newSoak(t *testing.T, seed uint64, nodes int) *soak {
 	s := &soak{
-		deployment: newDeployment(t, nodes), rnd: rand.New(rand.NewPCG(seed, seed)),
+		deployment: newLimitedDeployment(t, nodes, soakLimits), rnd: rand.New(rand.NewPCG(seed, seed)),
 		proxies: map[string]*proxy{}, stop: make(chan struct{}), killTimes: map[string][]time.Time{},
 	}
 	for id := range s.targets {
@@ -171,6 +177,7 @@
 	}
 	end := time.Now().Add(time.Duration(intFromEnv("MEDLARSHUNT_SOAK_SECONDS", soakSeconds)) * time.Second)
 	var injectors sync.WaitGroup
+	defer s.checkMemory()
 	for range 3 {
 		rnd := rand.New(rand.NewPCG(s.rnd.Uint64(), 1))
 		injectors.Go(func() {
@@ -180,6 +187,13 @@
 			}
 		})
 	}
+	rnd := rand.New(rand.NewPCG(s.rnd.Uint64(), 1))
+	injectors.Go(func() {
+		for time.Now().Before(end) {
+			s.injectMisbehaviour(rnd)
+			time.Sleep(time.Duration(rnd.IntN(400)) * time.Millisecond)
+		}
+	})
 	injectors.Wait()
 	s.endFaults()
 	said := s.letTargetsSpeak()
@@ -248,6 +262,34 @@
 	}
 }
 
+// injectMisbehaviour has clients that do not behave at one listener of a node, or a target that answers with a status that is none, for
+// a random duration.
+func (s *soak) injectMisbehaviour(rnd *rand.Rand) {
+	duration := time.Duration(200+rnd.IntN(1500)) * time.Millisecond
+	if rnd.IntN(4) == 0 {
+		id := slices.Sorted(maps.Keys(s.targets))[rnd.IntN(len(s.targets))]
+		s.targets[id].SetFaults(shardsim.Faults{Status: []string{"000", "101", "999"}[rnd.IntN(3)]})
+		time.Sleep(duration)
+		s.targets[id].SetFaults(shardsim.Faults{})
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), duration)
+	defer cancel()
+	l := crowdListeners[rnd.IntN(len(crowdListeners))]
+	behaviours := []crowd.Behaviour{crowd.EmptyLines, crowd.SendNothing, endlessLine, endlessLines, unfinishedHead(crowdHeaderBytes), unfinishedHead(120 << 10),
+		unfinishedBody, chunkedBody(64 << 10), chunkedBody(8), unfinishedPeerMessage}
+	crowd.Run(ctx, l.address(s.nodes[rnd.IntN(len(s.nodes))]), soakCrowd, behaviours[rnd.IntN(len(behaviours))])
+}
+
+// checkMemory checks that no node has used more memory than it may since its latest start.
+func (s *soak) checkMemory() {
+	for _, p := range s.nodes {
+		if peak := crowd.PeakMemoryMB(s.t, p.currentCommand().Process.Pid); peak > float64(s.limits.memoryMB) {
+			s.t.Errorf("%s: peak memory %.0f MB", p.name, peak)
+		}
+	}
+}
+
 // silence makes a share of the connections to nodes, targets and the store deliver nothing for good.
 func (s *soak) silence(share float64, rnd *rand.Rand) {
 	for _, name := range slices.Sorted(maps.Keys(s.proxies)) {
