--- a/test/platform/crowd_test.go
+++ b/test/platform/crowd_test.go
@@ -38,6 +38,8 @@
 	peerCrowd     = 40
 	idleCrowd     = 400
 
+	publishedTargets = 2000
+
 	peerMaxBytes = 8<<20 - 1
 )
 
@@ -244,6 +246,24 @@
 	expectCrowdBorne(t, crowdLimits, controlAddress, peerCrowd, func(w io.Writer, _ int) { crowd.Write(w, calls.Bytes()) })
 }
 
+// Guards against peers that ask for the published state again and again and read no answers.
+func TestCrowdOfPeerFetches(t *testing.T) {
+	s := newLimitedDeployment(t, 1, crowdLimits)
+	p := s.nodes[0]
+	s.expectOrdinaryAnswers(p)
+	for i := range publishedTargets {
+		s.registerTarget(fmt.Sprintf("i-desk-leaving-%d", i), "desk", fmt.Sprintf("127.0.0.1:%d", 1+i), "draining")
+	}
+	time.Sleep(crowd.Stay) // until the node holds them
+	s.expectWithinLimits(p)
+	crowd.Start(t, p.controlAddress, peerCrowd, func(w io.Writer, _ int) {
+		for i := range 1000 {
+			crowd.Write(w, []byte(fmt.Sprintf(`{"jsonrpc":"2.0","id":%d,"method":"published.fetch"}`+"\n", i)))
+		}
+	})
+	s.expectBorne(p)
+}
+
 // Guards against connections that take all descriptors of the process: it could no longer call targets or accept callers.
 func TestCrowdOfIdleConnections(t *testing.T) {
 	for _, l := range crowdListeners {
