Bounds on clients in one file a component, and requests of HTTP/2 with accounts of their own

A review of the diff: the shares of memory and sockets of "serve" stand in internal/gateway/bounds.go, those of a node in internal/node/bounds.go, the connection of a peer in its own file. A request that shares its connection with others (HTTP/2, at a node with TLS) gets an account of its own, so that giving up one body does not end the reading of the whole connection; found by reading, not seen. A request outside a protected server no longer leaves an account behind.

--- a/internal/gateway/core.go
+++ b/internal/gateway/core.go
@@ -45,8 +45,6 @@
 	memoryLimitShare = 0.7
 	// responseMemoryShare is the fraction of Config.MemoryLimitBytes that responses of targets may occupy.
 	responseMemoryShare = 0.2
-	// requestMemoryShare is the fraction of Config.MemoryLimitBytes that requests of callers may occupy.
-	requestMemoryShare = 0.15
 )
 
 // core owns the engine, the published state, membership and the crash counter of the process, and their background goroutines.
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -9,7 +9,6 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/medlarshunt/medlarshunt/internal/callerserver"
-	"github.com/medlarshunt/medlarshunt/internal/intake"
 	"github.com/medlarshunt/medlarshunt/internal/peer"
 	"github.com/medlarshunt/medlarshunt/internal/statechart"
 )
@@ -25,28 +24,6 @@
 	acceptTime = 3200 * time.Millisecond
 	// stopMargin is the part of the grace period that is reserved for the exit of the process.
 	stopMargin = 500 * time.Millisecond
-	// answerTimeout bounds how long a caller may take none of an answer. It is longer than callers wait.
-	answerTimeout = 15 * time.Second
-	// auxRequestTimeout bounds the reading of a request at the readiness and metrics addresses, auxAnswerTimeout the sending of its
-	// answer, and auxIdleTimeout the time between two requests on a connection.
-	auxRequestTimeout = 2 * time.Second
-	auxAnswerTimeout  = 10 * time.Second
-	auxIdleTimeout    = time.Minute
-	// auxMaxHeadBytes bounds the size of a request's head at these addresses.
-	auxMaxHeadBytes = 16 << 10
-	// callerSocketShare, peerSocketShare and auxSocketShare are the fractions of the sockets of the process that clients of the callers',
-	// the peers', and each of the other two addresses may hold. The rest is for connections that the process opens.
-	callerSocketShare = 0.5
-	peerSocketShare   = 0.125
-	auxSocketShare    = 0.015
-	// connectionMemoryShare is the fraction of Config.MemoryLimitBytes that connections of callers may occupy beside their requests.
-	connectionMemoryShare = 0.2
-	// peerMemoryShare is the fraction of Config.MemoryLimitBytes that connections of other nodes may occupy.
-	peerMemoryShare = 0.05
-	// messageMemoryShare is the fraction of Config.MemoryLimitBytes that messages of other nodes may occupy.
-	messageMemoryShare = 0.1
-	// auxMemoryShare is the fraction of Config.MemoryLimitBytes that requests at one of these addresses may occupy.
-	auxMemoryShare = 0.02
 )
 
 // servers holds the servers of the process.
@@ -63,39 +40,18 @@
 func newServers(cfg Config, deps Deps, c *core) *servers {
 	stopTime := cfg.GracePeriod - stopMargin
 	s := &servers{core: c, deps: deps}
-	limit := func(socketShare, memoryShare float64) int {
-		return intake.ConnectionLimit(cfg.MaxFDs, cfg.MemoryLimitBytes, socketShare, memoryShare)
-	}
-	budget := intake.NewBudget(int64(requestMemoryShare*float64(cfg.MemoryLimitBytes)), time.Now)
-	deps.MetricsSet.NewGauge("medlarshunt_request_memory_bytes", func() float64 { return float64(budget.Used()) })
-	guard := intake.NewGuard(intake.Config{
-		Budget: budget, MaxHeadBytes: c.maxHeadBytes, MaxConnections: limit(callerSocketShare, connectionMemoryShare),
-		WriteTimeout: answerTimeout, Refuse: deps.CrowdedHandler,
-	})
-	deps.MetricsSet.NewGauge("medlarshunt_caller_connections", func() float64 { return float64(guard.OpenConnections()) })
 	s.callerServer = callerserver.NewServer(callerserver.Config{
 		IdleTimeout: c.idleTimeout, BalancerNoticeTime: min(balancerNoticeTime, stopTime/2), FirstRequestTime: firstRequestTime,
-		AcceptTime: min(acceptTime, stopTime/2), StopTimeout: stopTime,
-		Guard: guard,
+		AcceptTime: min(acceptTime, stopTime/2), StopTimeout: stopTime, Guard: newCallerGuard(cfg, deps, c),
 	}, deps.Handler(c.engine), deps.StoppingHandler, deps.Log)
-	s.ready = newAuxServer(cfg, deps.ReadyHandler(s.isReady), limit(auxSocketShare, auxMemoryShare))
-	s.metrics = newAuxServer(cfg, metricsHandler(deps.MetricsSet), limit(auxSocketShare, auxMemoryShare))
+	s.ready = newAuxServer(cfg, deps.ReadyHandler(s.isReady))
+	s.metrics = newAuxServer(cfg, metricsHandler(deps.MetricsSet))
 	if deps.PeerListener != nil {
-		s.peerServer = peer.NewServer(deps.PeerListener, c.peerMethods(), peer.ServerConfig{
-			Panics: deps.Panics, MaxConnections: limit(peerSocketShare, peerMemoryShare), MemoryBytes: int64(messageMemoryShare * float64(cfg.MemoryLimitBytes)),
-		})
+		s.peerServer = newPeerServer(cfg, deps, c)
 	}
 	return s
 }
 
-// maxHeadBytes returns the limit of heads of the configuration in force, or 0 without a configuration.
-func (c *core) maxHeadBytes() int {
-	if t := c.follower.View().Table; t != nil {
-		return t.Configuration.Limits.HeaderBytes
-	}
-	return 0
-}
-
 // idleTimeout returns the idle timeout of the configuration in force, or 0 without a configuration.
 func (c *core) idleTimeout() time.Duration {
 	if t := c.follower.View().Table; t != nil {
--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -43,9 +43,8 @@
 	guard *Guard
 
 	mu       sync.Mutex
-	account  *Account // of the current request; nil before its first byte
+	account  *Account // of the current request; nil before its first byte, and with HTTP/2, where each request has its own
 	handling bool     // a head has been read, and the connection does not wait for the next one yet
-	requests int      // requests in the handler; more than one with HTTP/2
 	size     headScan
 	served   bool      // has had a complete request
 	since    time.Time // when the connection last ended a request, or was opened
@@ -158,7 +157,7 @@
 	switch {
 	case c.account == nil && !c.handling:
 		s.Phase = Awaiting
-	case c.account != nil && c.requests <= 1 && c.account.isIncomplete():
+	case c.account != nil && c.account.isIncomplete():
 		s.Phase = Reading
 	}
 	return s
@@ -180,27 +179,25 @@
 	return true
 }
 
-// beginRequest returns the account of a request whose head has been read. It reports false when the connection has been closed.
-func (c *conn) beginRequest() (*Account, bool) {
+// beginRequest returns the account of a request whose head has been read, or nil for one of several at a time. It reports false when
+// the connection has been closed.
+func (c *conn) beginRequest(multiplexed bool) (*Account, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closing {
 		return nil, false
 	}
-	if c.account == nil || c.handling { // pipelined, or a second stream
+	c.handling, c.served = true, true
+	switch {
+	case multiplexed && c.account != nil:
+		c.account.Close()
+		c.account = nil
+	case !multiplexed && c.account == nil: // the head was read with an earlier request
 		c.account = c.guard.cfg.Budget.Open(c.stopReading)
 	}
-	c.handling, c.served = true, true
-	c.requests++
 	return c.account, true
 }
 
-func (c *conn) endRequest() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.requests--
-}
-
 // awaitHead is called when the connection waits for the next request.
 func (c *conn) awaitHead() {
 	c.mu.Lock()
--- a/internal/intake/guard.go
+++ b/internal/intake/guard.go
@@ -84,14 +84,11 @@
 // serve passes a request to the handler with an account, which is closed when the handler returns.
 func (g *Guard) serve(handler http.Handler, w http.ResponseWriter, r *http.Request) {
 	conn, _ := r.Context().Value(connKey{}).(*conn)
-	account, ok := g.begin(conn, w)
+	account, ok := g.begin(conn, w, r)
 	if !ok {
 		panic(http.ErrAbortHandler) // the connection has given way to others and cannot be answered
 	}
 	defer account.Close()
-	if conn != nil {
-		defer conn.endRequest()
-	}
 	if r.ContentLength != 0 {
 		g.limitBody(w, account, g.cfg.BodyTimeout)
 		defer g.limitBody(w, account, discardTimeout)
@@ -117,9 +114,12 @@
 }
 
 // begin returns the account of a request whose head has been read, and reports whether the request may be handled.
-func (g *Guard) begin(conn *conn, w http.ResponseWriter) (*Account, bool) {
+func (g *Guard) begin(conn *conn, w http.ResponseWriter, r *http.Request) (*Account, bool) {
+	multiplexed := r.ProtoMajor > 1
 	if conn != nil {
-		return conn.beginRequest()
+		if account, ok := conn.beginRequest(multiplexed); !ok || !multiplexed {
+			return account, ok
+		}
 	}
 	response := http.NewResponseController(w)
 	return g.cfg.Budget.Open(func() { _ = response.SetReadDeadline(longAgo) }), true // an error means that the client has disconnected
@@ -131,15 +131,12 @@
 // longAgo is a deadline that ends the reading of a connection at once.
 var longAgo = time.Unix(0, 1)
 
-// unlimited is the budget of requests that have none.
-var unlimited = NewBudget(0, time.Now)
-
 // AccountOf returns the account of a request of a protected server, or one without a limit.
 func AccountOf(ctx context.Context) *Account {
 	if a, ok := ctx.Value(accountKey{}).(*Account); ok {
 		return a
 	}
-	return unlimited.Open(func() {})
+	return NewBudget(0, time.Now).Open(func() {})
 }
 
 // lineBytes is what a parsed header line occupies beside its bytes, at most: entries of the maps of the request and of the copy that
