Bounds between nodes leave room for a large fleet

By reading: a connection between nodes was read no further when its messages took a sixteenth of the whole, some 200 waiting searches at a node with the default memory, and a ping behind them would have been late, so that a healthy connection counts as silent; the limits of connections were below the number of nodes of the large deployment on its smallest machines, 294 of 295.

Change: the share of one connection is a setting of the server, half at a node, which has a call for each search. Peers' connections may take 10% of the memory, at a node 15%.

--- a/internal/gateway/bounds.go
+++ b/internal/gateway/bounds.go
@@ -20,9 +20,11 @@
 	// connectionMemoryShare is the fraction of Config.MemoryLimitBytes that connections of callers may occupy beside their requests.
 	connectionMemoryShare = 0.2
 	// peerMemoryShare is the fraction of Config.MemoryLimitBytes that connections of other nodes may occupy.
-	peerMemoryShare = 0.05
+	peerMemoryShare = 0.1
 	// messageMemoryShare is the fraction of Config.MemoryLimitBytes that messages of other nodes may occupy.
 	messageMemoryShare = 0.1
+	// messageConnectionShare is the fraction of that which messages of one connection may occupy. A node has a few calls at another.
+	messageConnectionShare = 1.0 / 16
 )
 
 // memoryShare returns a fraction of the memory of the process in bytes.
@@ -50,6 +52,7 @@
 func newPeerServer(cfg Config, deps Deps, c *core) *peer.Server {
 	return peer.NewServer(deps.PeerListener, c.peerMethods(), peer.ServerConfig{
 		Panics: deps.Panics, MaxConnections: cfg.connectionLimit(peerSocketShare, peerMemoryShare), MemoryBytes: cfg.memoryShare(messageMemoryShare),
+		ConnectionShare: messageConnectionShare,
 	})
 }
 
--- a/internal/node/bounds.go
+++ b/internal/node/bounds.go
@@ -19,8 +19,11 @@
 	connectionMemoryShare = 0.1
 	// messageMemoryShare is the fraction of the memory that messages of other nodes may occupy, peerMemoryShare that of their
 	// connections.
-	messageMemoryShare = 0.1
-	peerMemoryShare    = 0.05
+	messageMemoryShare = 0.2
+	peerMemoryShare    = 0.15
+	// messageConnectionShare is the fraction of the memory of messages that those of one connection may occupy. A node has a call at
+	// another for each search that waits there.
+	messageConnectionShare = 0.5
 	// callerSocketShare, peerSocketShare and adminSocketShare are the fractions of the sockets of the process that the clients of each
 	// listener may hold. The rest is for connections that the process opens.
 	callerSocketShare = 0.5
@@ -45,7 +48,7 @@
 
 func newPeerServer(cfg Config, deps Deps, methods *peerMethods) *peer.Server {
 	return peer.NewServer(deps.PeerListener, methods.handlers(), peer.ServerConfig{
-		Panics: deps.Panics, MemoryBytes: int64(messageMemoryShare * float64(cfg.MemoryLimitBytes)),
+		Panics: deps.Panics, MemoryBytes: int64(messageMemoryShare * float64(cfg.MemoryLimitBytes)), ConnectionShare: messageConnectionShare,
 		MaxConnections: intake.ConnectionLimit(cfg.MaxFDs, cfg.MemoryLimitBytes, peerSocketShare, peerMemoryShare),
 	})
 }
--- a/internal/peer/incoming.go
+++ b/internal/peer/incoming.go
@@ -18,8 +18,6 @@
 	// ordinaryMessageBytes is the size up to which the only message of a connection is always handled, so that a node that
 	// behaves is heard while others take all memory. It holds a heartbeat.
 	ordinaryMessageBytes = readBufferBytes
-	// pendingShare is the share of the memory of all messages up to which a connection is read while its messages are handled.
-	pendingShare = 1.0 / 16
 	// shedTries is how often a message waits for memory, for shedPause each time.
 	shedTries = 20
 	shedPause = 10 * time.Millisecond
--- a/internal/peer/memory_test.go
+++ b/internal/peer/memory_test.go
@@ -68,7 +68,7 @@
 // Guards against memory of messages that is not given back: calls, notifications, both with an unknown method, and calls whose id is
 // in use.
 func TestMemoryOfMessagesIsGivenBack(t *testing.T) {
-	m := newMemoryTest(t, peer.ServerConfig{MemoryBytes: 8 << 20})
+	m := newMemoryTest(t, peer.ServerConfig{MemoryBytes: 8 << 20, ConnectionShare: 1.0 / 16})
 	c, r := m.dial()
 	for i := range 30 {
 		m.send(c, 3*i+1, "echo", 20000)
@@ -94,7 +94,7 @@
 
 // Guards against a connection whose messages are read without end while earlier ones are handled.
 func TestConnectionWithManyCallsIsReadLater(t *testing.T) {
-	m := newMemoryTest(t, peer.ServerConfig{MemoryBytes: 8 << 20})
+	m := newMemoryTest(t, peer.ServerConfig{MemoryBytes: 8 << 20, ConnectionShare: 1.0 / 16})
 	c, r := m.dial()
 	const calls = 50
 	go func() {
@@ -113,7 +113,7 @@
 
 // Guards against a peer that is not heard because others have taken all memory: it is heard, and those that hold most are closed.
 func TestOrdinaryPeerIsHeardInACrowd(t *testing.T) {
-	m := newMemoryTest(t, peer.ServerConfig{MemoryBytes: 1 << 20})
+	m := newMemoryTest(t, peer.ServerConfig{MemoryBytes: 1 << 20, ConnectionShare: 1.0 / 16})
 	for range 40 {
 		c, _ := m.dial()
 		go func() {
@@ -135,7 +135,7 @@
 
 // Guards against a message that is never finished and keeps out others.
 func TestUnfinishedMessageGivesWay(t *testing.T) {
-	m := newMemoryTest(t, peer.ServerConfig{MemoryBytes: 1 << 20})
+	m := newMemoryTest(t, peer.ServerConfig{MemoryBytes: 1 << 20, ConnectionShare: 1.0 / 16})
 	stalled, stalledReader := m.dial()
 	_, err := io.WriteString(stalled, strings.Repeat("x", 200000))
 	m.Expect(err).NotTo(HaveOccurred())
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -26,7 +26,7 @@
 	listener    net.Listener
 	connections *intake.Connections
 	budget      *intake.Budget
-	memory      int64 // capacity of budget
+	pending     int // largest cost of the messages of one connection that are handled; 0 for no limit
 
 	mu      sync.Mutex // guards conns and closed
 	conns   map[*serverConn]struct{}
@@ -42,6 +42,9 @@
 	MaxConnections int
 	// MemoryBytes bounds the memory of messages that are read and handled; 0 sets no bound.
 	MemoryBytes int64
+	// ConnectionShare is the share of MemoryBytes that messages of one connection may occupy while they are handled. Until then, its
+	// later messages are not read, not even a ping.
+	ConnectionShare float64
 }
 
 // NewServer returns a server that answers on listener with the given handlers.
@@ -61,7 +64,7 @@
 	}
 	return &Server{
 		methods: assigner{methods: all, unknown: contained("unknown", unknownMethod, cfg.Panics)}, listener: listener, connections: intake.NewConnections(cfg.MaxConnections),
-		budget: intake.NewBudget(cfg.MemoryBytes, time.Now), memory: cfg.MemoryBytes, conns: map[*serverConn]struct{}{},
+		budget: intake.NewBudget(cfg.MemoryBytes, time.Now), pending: int(cfg.ConnectionShare * float64(cfg.MemoryBytes)), conns: map[*serverConn]struct{}{},
 	}
 }
 
--- a/internal/peer/serverconn.go
+++ b/internal/peer/serverconn.go
@@ -22,7 +22,7 @@
 	c := &serverConn{Conn: accepted}
 	c.lastMessage.Store(time.Now().UnixNano())
 	c.memory = &incoming{
-		budget: s.budget, limit: int(pendingShare * float64(s.memory)), closed: make(chan struct{}), room: make(chan struct{}, 1),
+		budget: s.budget, limit: s.pending, closed: make(chan struct{}), room: make(chan struct{}, 1),
 		close: func() { c.Close() }, shed: func(cost int) bool { return s.closeLargest(cost) },
 	}
 	return c
